Picks draw and test servers; cold budgets start at a random part; records move to state.rs

Now a pick draws up to six servers and walks the list only where all fail; the warm capacity and the sides are kept by the beat; the cold budget starts at a random part of a request, so that marshals together send its expectation. Plain records without decisions stand in state.rs.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod interface;
 pub mod moments;
 pub mod policy;
+mod state;
 
 pub use policy::Marshal;
--- a/crates/decision/src/moments.rs
+++ b/crates/decision/src/moments.rs
@@ -108,8 +108,8 @@
     pub fn part(&mut self) -> f64 {
         self.0.random()
     }
-    /// One of a list; none of an empty one.
-    pub fn one_of<'a, T>(&mut self, list: &'a [T]) -> Option<&'a T> {
-        (!list.is_empty()).then(|| &list[self.0.random_range(0..list.len())])
+    /// A whole number below `count`; none if that is 0.
+    pub fn below(&mut self, count: usize) -> Option<usize> {
+        (count > 0).then(|| self.0.random_range(0..count))
     }
 }
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -4,6 +4,7 @@
 
 use crate::interface::*;
 use crate::moments::{Dice, Sums, Times};
+use crate::state::{Attempt, Cast, Ended, Node, Request, Trial};
 use statrs::distribution::{ContinuousCDF, StudentsT};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -45,6 +46,8 @@
 const SPILL: u32 = 2;
 /// A pick outside our zone must be this much quicker to be worth the crossing.
 const FAR: f64 = 1.25;
+/// Draws of a server before the list is walked.
+const DRAWS: usize = 6;
 /// How much longer a node that always fails ranks, so that one that fails fast does not look quick.
 const FAIL_COST: f64 = 5.0;
 /// Attempts without an answer in a row that set a node aside, and the first such pause; it doubles. None is
@@ -64,53 +67,6 @@
 const RATE_SPAN: Ms = Ms(2000.0);
 const BEAT: Ms = Ms(100.0);
 
-#[derive(Default)]
-struct Node {
-    entry: NodeEntry,
-    inflight: u32,
-    /// Running means of latency and of our requests in flight at the send.
-    latency: Option<f64>,
-    load: f64,
-    /// Running share of attempts that failed.
-    failing: f64,
-    /// Errors and complaints since its start.
-    errors: u32,
-    silent: u32,
-    aside_until: Ms,
-    pause: Ms,
-    /// Cold budget: tokens and when they were counted.
-    tokens: f64,
-    counted: Ms,
-}
-impl Node {
-    fn fresh(entry: NodeEntry, counted: Ms) -> Node {
-        Node { entry, pause: PAUSE, tokens: 1.0, counted, ..Node::default() }
-    }
-}
-struct Request {
-    class: ClassId,
-    key: Option<Key>,
-    /// Until when an answer earns its full worth.
-    aim: Ms,
-    deadline: Ms,
-    tries: u32,
-    tried: Vec<NodeId>,
-    /// The first attempt that may have run: its node's zone and cell, and when it was sent.
-    ran: Option<(ZoneId, u32, Ms)>,
-}
-/// Where, how and after how long an attempt ended.
-type Ended = (NodeId, Verdict, Ms);
-struct Attempt {
-    class: ClassId,
-    build: Build,
-    kind: KindId,
-    home: (ZoneId, u32),
-    sent: Ms,
-    covariate: f64,
-    /// Our requests in flight at its node as it was sent.
-    crowd: f64,
-    scored: bool,
-}
 /// The adjusted test (page; the paper's equations 4 and 7): each class holds the sums of the earlier build
 /// and of the build on trial. Gives the adjusted delta, its error, the statistic and the one-sided p.
 pub fn adjusted_test(classes: &[[Sums; 2]], shares: &[f64]) -> (f64, f64, f64, f64) {
@@ -138,22 +94,6 @@
     (delta, error, t, p)
 }
 
-/// What this marshal holds of the build on trial, anew for each stage.
-#[derive(Default)]
-struct Trial {
-    sums: Vec<[Sums; 2]>,
-    looks: usize,
-    next_look: Ms,
-    clean: bool,
-    held: Option<Ms>,
-    since: Ms,
-}
-struct Cast {
-    what: (Build, u32, Vote),
-    at: Ms,
-    answered: bool,
-}
-
 /// One marshal.
 #[derive(Default)]
 pub struct Marshal {
@@ -161,6 +101,10 @@
     dice: Dice,
     now: Ms,
     nodes: BTreeMap<NodeId, Node>,
+    /// What picks need of the list, by `survey`.
+    sides: [[Vec<NodeId>; 2]; 2],
+    trials: Vec<Build>,
+    warm: [f64; 2],
     requests: BTreeMap<RequestId, Request>,
     attempts: BTreeMap<(RequestId, u32), Attempt>,
     /// Requests taken and attempts at builds on trial within the window, by class.
@@ -228,10 +172,17 @@
                 out.push(Action::SetAlarm("beat".into(), now + BEAT));
                 self.ask(out);
                 self.judge(out);
+                self.survey();
                 self.vote(out);
             }
-            Event::Fleet(form, entries) => self.fleet(form, entries),
-            Event::Stage(news) => self.stage(news, out),
+            Event::Fleet(form, entries) => {
+                self.fleet(form, entries);
+                self.survey();
+            }
+            Event::Stage(news) => {
+                self.stage(news, out);
+                self.survey();
+            }
             Event::Request { id, class, key, expires_in, work_hint, .. } => {
                 self.counts[class.0] += 1.0;
                 self.taken[class.0].push(now);
@@ -376,28 +327,14 @@
             if news.phase == Phase::Trial && !self.condemned.contains(&news.build) {
                 // The cap rises before the machines of its stage run, and counts them more than once: the
                 // coin never asks more of the new machines than their even part of what is warm.
-                coin = (COIN * news.cap).min(self.warm(news.build) / self.warm(Build(0)).max(1.0));
+                coin = (COIN * news.cap).min(self.warm[0] / self.warm[1].max(1.0));
             }
         }
         let heads = self.dice.part() < coin;
         let stays = request.key.as_ref().is_some_and(|key| self.moved.contains(key));
-        let mut sides: [Vec<NodeId>; 2] = Default::default();
-        for id in self.nodes.keys().cloned().collect::<Vec<NodeId>>() {
-            let node = &self.nodes[&id];
-            let build = node.entry.build;
-            let new = self.on_trial(build).is_some() || self.condemned.contains(&build);
-            let kept = match (&request.ran, self.set.classes[request.class.0].scope) {
-                (Some((home, _, _)), Scope::Zone) => *home == node.entry.zone,
-                (Some((_, home, _)), Scope::Cell) => *home == node.entry.cell,
-                _ => true,
-            };
-            let awake = node.entry.state == NodeState::InService && self.now >= node.aside_until;
-            let usable = awake && kept && !request.tried.contains(&id) && (!stays || self.is_newest(build));
-            if usable && (!new || self.within_cap(build, request.class)) && self.cold_room(&id) {
-                sides[usize::from(new)].push(id);
-            }
-        }
-        let picks = [self.two_choices(&sides[0]), self.two_choices(&sides[1])];
+        let open = self.trials.clone().into_iter().any(|build| self.within_cap(build, request.class));
+        let new = if open { self.two_choices(request, 1, stays) } else { None };
+        let picks = [self.two_choices(request, 0, stays), new];
         let [first, second] = if heads || stays { [picks[1].clone(), picks[0].clone()] } else { picks };
         let inflight = |pick: &(NodeId, f64)| self.nodes[&pick.0].inflight;
         match (first, second) {
@@ -409,28 +346,84 @@
 
     /// Two random choices: the one with less in flight for its speed. Nearby servers are asked first; a far
     /// one must be `FAR` times quicker.
-    fn two_choices(&mut self, side: &[NodeId]) -> Option<(NodeId, f64)> {
+    fn two_choices(&mut self, request: &Request, side: usize, stays: bool) -> Option<(NodeId, f64)> {
         let mut best: Option<(NodeId, f64, f64)> = None;
-        let local = |id: &&NodeId| self.set.zone == Some(self.nodes[*id].entry.zone);
-        let near: Vec<&NodeId> = side.iter().filter(local).collect();
-        for (pool, weight) in [(near, 1.0), (side.iter().collect(), FAR)] {
+        for (pool, weight) in [(0, 1.0), (1, FAR)] {
             if best.as_ref().is_some_and(|b| self.nodes[&b.0].inflight == 0) {
                 break;
             }
+            let pool = std::mem::take(&mut self.sides[side][pool]);
             for _ in 0..2 {
-                let Some(&id) = self.dice.one_of(&pool) else { break };
-                let predicted = self.predicted(id);
-                let node = &self.nodes[id];
+                let Some(id) = self.draw(&pool, request, stays) else { break };
+                let predicted = self.predicted(&id);
+                let node = &self.nodes[&id];
                 let far = if self.set.zone == Some(node.entry.zone) { 1.0 } else { weight };
                 let rank = predicted * (node.load + 1.0) * far * (1.0 + FAIL_COST * node.failing);
                 if best.as_ref().is_none_or(|b| rank < b.2) {
-                    best = Some((id.clone(), predicted, rank));
+                    best = Some((id, predicted, rank));
                 }
             }
+            self.sides[side][usize::from(weight > 1.0)] = pool;
         }
         best.map(|(id, predicted, _)| (id, predicted))
     }
 
+    /// One random server that may take the request: drawn and tested, so that the work does not grow with
+    /// the fleet; where the draws fail, the first that may from the last draw on.
+    fn draw(&mut self, pool: &[NodeId], request: &Request, stays: bool) -> Option<NodeId> {
+        let mut at = 0;
+        for _ in 0..DRAWS {
+            at = self.dice.below(pool.len())?;
+            if self.usable(&pool[at], request, stays) {
+                return Some(pool[at].clone());
+            }
+        }
+        let (before, after) = pool.split_at(at);
+        after.iter().chain(before).find(|id| self.usable(id, request, stays)).cloned()
+    }
+
+    /// Whether a server may take the request: in service and not set aside, in the group that drops its
+    /// repeats, not tried yet, within the cap, and with room if it is cold.
+    fn usable(&mut self, id: &NodeId, request: &Request, stays: bool) -> bool {
+        let Some(node) = self.nodes.get(id) else { return false };
+        let build = node.entry.build;
+        let kept = match (&request.ran, self.set.classes[request.class.0].scope) {
+            (Some((home, _, _)), Scope::Zone) => *home == node.entry.zone,
+            (Some((_, home, _)), Scope::Cell) => *home == node.entry.cell,
+            _ => true,
+        };
+        let awake = self.now >= node.aside_until && (!stays || self.is_newest(build));
+        awake
+            && kept
+            && !request.tried.contains(id)
+            && self.within_cap(build, request.class)
+            && self.cold_room(id)
+    }
+
+    /// Keeps what picks need of the list: the servers in service by side (earlier builds, then builds on
+    /// trial or sent back), nearby ones and all; and the warm capacity, in machines, of the newest build and
+    /// of all. Told of a change at once, of warming by the beat.
+    fn survey(&mut self) {
+        self.sides = Default::default();
+        self.trials.clear();
+        self.warm = [0.0; 2];
+        let newest = self.news.as_ref().map(|news| news.build);
+        for (id, node) in self.nodes.iter().filter(|(_, n)| n.entry.state == NodeState::InService) {
+            let build = node.entry.build;
+            let side = usize::from(self.on_trial(build).is_some() || self.condemned.contains(&build));
+            if self.set.zone == Some(node.entry.zone) {
+                self.sides[side][0].push(id.clone());
+            }
+            self.sides[side][1].push(id.clone());
+            if side == 1 && !self.trials.contains(&build) {
+                self.trials.push(build);
+            }
+            let warmth = self.warmth(node);
+            self.warm[0] += if newest.is_some_and(|newest| build >= newest) { warmth } else { 0.0 };
+            self.warm[1] += warmth;
+        }
+    }
+
     /// Expected answer time: the node's mean, scaled by what is in flight now against then.
     fn predicted(&self, id: &NodeId) -> f64 {
         let node = &self.nodes[id];
@@ -445,21 +438,16 @@
         (self.set.cold_from + (1.0 - self.set.cold_from) * age).min(1.0)
     }
 
-    /// The warm capacity in service of a build and later ones, in machines.
-    fn warm(&self, from: Build) -> f64 {
-        let serving = |n: &&Node| n.entry.state == NodeState::InService && n.entry.build >= from;
-        self.nodes.values().filter(serving).map(|n| self.warmth(n)).sum()
-    }
-
     /// Rule 4: a cold node gets at most its warmth's share of our own requests, so that all marshals together
-    /// stay well under the multiple whatever the coin and the list say.
+    /// stay well under the multiple whatever the coin and the list say. The budget starts at a random part
+    /// of a request: hundreds of marshals with a whole one each would push it over in one burst.
     fn cold_room(&mut self, id: &NodeId) -> bool {
         let warmth = self.warmth(&self.nodes[id]);
         if warmth >= 1.0 {
             return true;
         }
         let rate = self.recent.trim(self.now - RATE_SPAN) as f64 / RATE_SPAN.0;
-        let rate = rate / self.warm(Build(0)).max(1.0) * warmth * self.set.fall_multiple * 0.4;
+        let rate = rate / self.warm[1].max(1.0) * warmth * self.set.fall_multiple * 0.4;
         let now = self.now;
         let Some(node) = self.nodes.get_mut(id) else { return false };
         node.tokens = (node.tokens + rate * (now - node.counted).0).min(1.0 + rate * 300.0);
@@ -616,10 +604,10 @@
             return;
         }
         let outcomes: f64 = self.trial.sums.iter().map(|arms| arms[1].n).sum();
-        let (delta, _, _, p) = adjusted_test(&self.trial.sums, &self.counts);
         if self.trial.looks < LOOKS && outcomes >= LEAST && self.now >= self.trial.next_look {
             self.trial.looks += 1;
             self.trial.next_look = self.now + BETWEEN;
+            let (delta, _, _, p) = adjusted_test(&self.trial.sums, &self.counts);
             if p < LEVEL / LOOKS as f64 && delta > LEAST_HARM {
                 self.condemned.insert(news.build);
                 out.push(Action::Log(format!("back: build {} stage {} p {p:.5}", news.build.0, news.stage)));
@@ -631,6 +619,7 @@
         let newest = starts.filter_map(|n| n.entry.started).fold(self.trial.since, Ms::max);
         if self.now - newest >= CLOCK && !self.trial.clean {
             let held = *self.trial.held.get_or_insert(self.now);
+            let (_, _, _, p) = adjusted_test(&self.trial.sums, &self.counts);
             self.trial.clean = p >= HOLD_P || self.now - held >= CLOCK;
         }
     }
@@ -779,13 +768,18 @@
                 self.nodes.remove(&entry.node);
                 continue;
             }
-            let (now, held) = (self.now, self.nodes.entry(entry.node.clone()));
-            let node = held.or_insert_with(|| Node::fresh(entry.clone(), now));
-            if node.entry.started != entry.started || node.entry.build != entry.build {
-                let inflight = node.inflight;
-                *node = Node { inflight, ..Node::fresh(entry, now) };
-            } else {
-                node.entry = entry;
+            let (now, dice) = (self.now, &mut self.dice);
+            let mut fresh =
+                |entry| Node { entry, pause: PAUSE, tokens: dice.part(), counted: now, ..Node::default() };
+            match self.nodes.get_mut(&entry.node) {
+                Some(node) if node.entry.started == entry.started && node.entry.build == entry.build => {
+                    node.entry = entry;
+                }
+                // A new start on a known id: what is still out there counts on.
+                Some(node) => *node = Node { inflight: node.inflight, ..fresh(entry) },
+                None => {
+                    self.nodes.insert(entry.node.clone(), fresh(entry));
+                }
             }
         }
     }
--- a/crates/decision/tests/decisions/common.rs
+++ b/crates/decision/tests/decisions/common.rs
@@ -80,8 +80,11 @@
 
 impl Bench {
     pub fn new(set: Settings, entries: Vec<NodeEntry>, build: u32) -> Bench {
-        let mut bench =
-            Bench { marshal: Marshal::new(set, 7), now: 1000.0, log: Vec::new(), alarm: f64::MAX, count: 0 };
+        Bench::seeded(7, set, entries, build)
+    }
+    pub fn seeded(seed: u64, set: Settings, entries: Vec<NodeEntry>, build: u32) -> Bench {
+        let marshal = Marshal::new(set, seed);
+        let mut bench = Bench { marshal, now: 1000.0, log: Vec::new(), alarm: f64::MAX, count: 0 };
         bench.give(Event::Start);
         bench.give(Event::Fleet(FleetForm::Restored, entries));
         bench.give(news(build, 3, Phase::Released, 1.0));
--- a/crates/decision/tests/decisions/rules.rs
+++ b/crates/decision/tests/decisions/rules.rs
@@ -113,6 +113,23 @@
     assert!(cold > 0.0 && cold < all / 10.0 * 3.0 * 0.4 * warmth + 5.0, "{cold} of {all}");
 }
 
+/// Guards against a whole free request for each marshal: hundreds of them would push a cold node over at once.
+#[test]
+fn hundreds_of_marshals_do_not_burst_on_a_cold_node() {
+    let mut burst = 0;
+    for seed in 0..300 {
+        let entries =
+            [fleet(1, 9), vec![NodeEntry { started: Some(Ms(1000.0)), ..node("cold", 1) }]].concat();
+        let mut b = Bench::seeded(seed, settings(), entries, 1);
+        b.pass(5.0);
+        for _ in 0..4 {
+            burst += u32::from(sent(&b.ask(0).1).is_some_and(|to| &*to.0 == "cold"));
+        }
+    }
+    // Of 1,200 requests an even part of a warm node is 120; a cold one at 0.4 bears 48.
+    assert!(burst < 48, "{burst}");
+}
+
 #[test]
 fn discovery_that_must_be_asked_is_subscribed_and_renewed_with_back_off() {
     let mut b = Bench::new(Settings { ask_discovery: true, ..settings() }, fleet(1, 2), 1);
