--- a/crates/decision/src/moments.rs
+++ b/crates/decision/src/moments.rs
@@ -68,6 +68,23 @@
     }
 }
 
+/// A running mean: of all at first, later with a least weight for each new value.
+#[derive(Clone, Copy, Default, Debug, PartialEq)]
+pub struct Mean {
+    /// Values taken.
+    pub n: f64,
+    /// The mean.
+    pub value: f64,
+}
+
+impl Mean {
+    /// Takes a value at the weight of one among all, or the least weight if that is more.
+    pub fn add(&mut self, value: f64, least: f64) {
+        self.n += 1.0;
+        self.value += (1.0 / self.n).max(least) * (value - self.value);
+    }
+}
+
 /// Moments in time, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct Times(VecDeque<Ms>);
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -4,8 +4,8 @@
 
 use crate::interface::*;
 use crate::moments::{Dice, Sums, Times};
-use crate::state::{Attempt, Cast, Ended, Node, Request, Trial};
-use statrs::distribution::{ContinuousCDF, StudentsT};
+use crate::state::{Attempt, Cast, Ended, Heard, Node, Request, Step, Trial};
+use statrs::distribution::{Binomial, ContinuousCDF, DiscreteCDF, StudentsT};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Part of the cap that the coin uses (page); the rest is room for spill and chance.
@@ -21,8 +21,7 @@
 /// One-sided level, split over the looks; below `HOLD_P` the clock holds once a stage (page).
 const LEVEL: f64 = 0.01;
 const HOLD_P: f64 = 0.1;
-/// A surplus of failures below this is left alone: with many outcomes the test finds any difference, also
-/// that of a good build a little slower than the last.
+/// A surplus of failures below this is left alone: with many outcomes the test finds any difference.
 const LEAST_HARM: f64 = 0.015;
 /// The clock after the newest start (page); the hold lasts as long again.
 const CLOCK: Ms = Ms(2500.0);
@@ -33,37 +32,33 @@
 const STEP_FIT_LATE: f64 = 0.88;
 const STEP_SPREAD: f64 = 0.003;
 const STEP_BEATS: u32 = 8;
+const STRAIN: f64 = 0.95;
 const FADE: f64 = 0.995;
-/// An attempt slower than this many means of the earlier build scores as a time-out: at an exponential
-/// spread under 0.1% do, of a build that needs thrice the work 7%.
+/// An attempt slower than this many means of the earlier build scores as a time-out.
 const SLOW_MEANS: f64 = 8.0;
 /// A latency counts in a node's mean at no more than this many times that mean.
 const OUTLIER: f64 = 4.0;
-/// Weight of a new latency in a running mean.
+/// Least weight of a new latency in a running mean, and how long one stays news to a rare visitor.
 const FRESH: f64 = 0.1;
+const MEMORY: Ms = Ms(4000.0);
 /// A pick leaves the coin's build when it has over this many times (the other pick's plus one) in flight.
 /// By in-flight and not by speed: a slow build must go on giving evidence.
 const SPILL: u32 = 2;
-/// A pick outside our zone must be this much quicker to be worth the crossing.
-const FAR: f64 = 1.25;
 /// Draws of a server before the list is walked.
 const DRAWS: usize = 6;
-/// How much longer a node that always fails ranks, so that one that fails fast does not look quick.
-const FAIL_COST: f64 = 5.0;
-/// Attempts without an answer in a row that set a node aside, and the first such pause; it doubles. None is
-/// set aside while more than this share goes unanswered everywhere.
+/// Attempts in a row without an answer that set a node aside, the first such pause, and the share that goes
+/// unanswered everywhere above which none is set aside.
 const SILENT: u32 = 3;
 const PAUSE: Ms = Ms(1000.0);
 const WIDESPREAD: f64 = 0.2;
-/// A mean expected answer time above this part of the tightest aim is overload. Scored on all sites at 0.3,
-/// 0.4, 0.6, 0.8 and 1.1: best at 0.8, falling off smoothly on both sides.
+/// A mean expected answer time above this part of the tightest aim is overload; scored from 0.3 to 1.1.
 const PATIENCE: f64 = 0.8;
 /// Further attempts earned by each request: bounds what retries add under overload.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_MOST: f64 = 10.0;
 /// After this long a stage's news has settled: answer times are calm again.
 const SETTLED: Ms = Ms(10000.0);
-/// Span over which our own rate is counted, and the beat of votes and discovery.
+/// Span of our own rate, and the beat of votes and discovery.
 const RATE_SPAN: Ms = Ms(2000.0);
 const BEAT: Ms = Ms(100.0);
 
@@ -100,10 +95,11 @@
     set: Settings,
     dice: Dice,
     now: Ms,
+    /// Whether this batch ends a time in which we stood still.
+    stood: bool,
     nodes: BTreeMap<NodeId, Node>,
     /// What picks need of the list, by `survey`.
     sides: [[Vec<NodeId>; 2]; 2],
-    trials: Vec<Build>,
     warm: [f64; 2],
     requests: BTreeMap<RequestId, Request>,
     attempts: BTreeMap<(RequestId, u32), Attempt>,
@@ -112,14 +108,11 @@
     exposed: BTreeMap<Build, Vec<Times>>,
     recent: Times,
     counts: Vec<f64>,
+    /// One-sided level of a vote back, all looks together, and the outcomes that a look needs at it.
+    level_back: f64,
+    least: f64,
     retry_tokens: f64,
-    /// The earlier build's scores within the covariate's span, and its mean latency by class and kind.
-    earlier: Vec<VecDeque<(Ms, f64)>>,
-    means: BTreeMap<(ClassId, KindId), f64>,
-    mean: f64,
-    calm: BTreeMap<(ClassId, KindId), f64>,
-    /// Running share of attempts without an answer, over all nodes.
-    unanswered: f64,
+    heard: Heard,
     moved: BTreeSet<Key>,
     news: Option<StageNews>,
     /// When the cap was last lowered, and from what.
@@ -129,13 +122,7 @@
     /// Plain failures of the build before the newest, and of the newest since its release.
     after: Vec<[Sums; 2]>,
     next_watch: Ms,
-    /// Share of our attempts at the newest build, the level of answer times against the calm before it, the
-    /// share that missed the aim, and the fading sums of dose (covariate) and level (score).
-    dose: f64,
-    level: f64,
-    missed: f64,
-    steps: Sums,
-    in_step_for: u32,
+    step: Step,
     cast: Option<Cast>,
     next_call: Ms,
     next_ask: Ms,
@@ -144,19 +131,27 @@
 }
 
 impl Marshal {
-    /// A marshal that knows nothing yet.
+    /// Knows nothing yet.
     pub fn new(set: Settings, seed: u64) -> Marshal {
         let classes = set.classes.len();
         let sums: Vec<[Sums; 2]> = vec![Default::default(); classes];
+        // Where many must vote a build back, as many as needed may err together no more often than one alone
+        // would; halved for what they share. A look needs outcomes as the logarithm of that level.
+        let (all, back) = (u64::from(set.marshals.max(1)), u64::from(set.back_votes.max(1)));
+        let err = |level: f64| Binomial::new(level, all).map_or(1.0, |law| law.sf(back - 1));
+        let level = (1..50).map(|i| f64::from(i) * 0.01).take_while(|&level| err(level) <= LEVEL).last();
+        let level_back = LEVEL.max(level.unwrap_or(0.0) * 0.5);
         Marshal {
+            level_back,
+            least: (LEAST * level_back.ln() / LEVEL.ln()).ceil(),
             dice: Dice::new(seed),
             taken: vec![Times::default(); classes],
             counts: vec![1.0; classes],
             retry_tokens: RETRY_MOST,
-            earlier: vec![VecDeque::new(); classes],
+            heard: Heard { earlier: vec![VecDeque::new(); classes], ..Heard::default() },
             after: sums.clone(),
             trial: Trial { sums, ..Trial::default() },
-            level: 1.0,
+            step: Step { level: 1.0, ..Step::default() },
             ask_pause: PAUSE,
             set,
             ..Marshal::default()
@@ -165,6 +160,7 @@
 
     /// Takes one event and appends what to do about it.
     pub fn handle(&mut self, now: Ms, event: Event, out: &mut Vec<Action>) {
+        self.stood = if now > self.now { now - self.now > BEAT * 3.0 } else { self.stood };
         self.now = now;
         match event {
             Event::Start => out.push(Action::SetAlarm("beat".into(), now + BEAT)),
@@ -175,34 +171,18 @@
                 self.survey();
                 self.vote(out);
             }
-            Event::Fleet(form, entries) => {
-                self.fleet(form, entries);
-                self.survey();
-            }
-            Event::Stage(news) => {
-                self.stage(news, out);
-                self.survey();
-            }
+            Event::Fleet(form, entries) => self.fleet(form, entries),
+            Event::Stage(news) => self.stage(news, out),
             Event::Request { id, class, key, expires_in, work_hint, .. } => {
                 self.counts[class.0] += 1.0;
                 self.taken[class.0].push(now);
                 self.recent.push(now);
                 self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_MOST);
                 let c = &self.set.classes[class.0];
-                let request = Request {
-                    class,
-                    key,
-                    aim: now + c.aim + work_hint.unwrap_or_default() * c.aim_stretch,
-                    deadline: now + expires_in,
-                    tries: 0,
-                    tried: Vec::new(),
-                    ran: None,
-                };
-                self.send(id, request, out);
-            }
-            Event::ClientGone(id) => {
-                self.requests.remove(&id);
+                let aim = now + c.aim + work_hint.unwrap_or_default() * c.aim_stretch;
+                self.send(id, Request::new(class, key, aim, now + expires_in), out);
             }
+            Event::ClientGone(id) => drop(self.requests.remove(&id)),
             Event::Completed { id, copy, node, verdict, latency, settled, .. } => {
                 self.completed(id, copy, (node, verdict, latency), settled, out);
             }
@@ -232,7 +212,7 @@
             until = until.min(request.aim);
         }
         // Leave room for a second try where the class allows one.
-        let split = Ms((class.aim.0 * 0.5).max(SLOW_MEANS * self.mean));
+        let split = Ms((class.aim.0 * 0.5).max(SLOW_MEANS * self.heard.mean.value));
         let repeatable = class.effect != Effect::AtMostOnce && self.retry_tokens >= 1.0;
         if repeatable && request.tries == 0 && split.0 < class.aim.0 * 0.75 {
             until = until.min(self.now + split);
@@ -271,12 +251,12 @@
         let class = &self.set.classes[request.class.0];
         let harmless = match class.effect {
             Effect::Idempotent => true,
-            Effect::Deduplicated => request.ran.is_none() || class.scope == Scope::All,
-            Effect::AtMostOnce => request.ran.is_none(),
+            effect => request.ran.is_none() || (effect == Effect::Deduplicated && class.scope == Scope::All),
         };
         let wait = self.set.retry_after.then(|| class.aim.min(self.set.max_retry_after));
         out.push(if harmless { Action::Refuse(id, wait) } else { Action::Fail(id) });
-        self.missed += self.pace() * (1.0 - self.missed);
+        let early = f64::from(u8::from(request.tries == 0));
+        self.step.missed += early * self.pace() * (1.0 - self.step.missed);
     }
 
     /// The cap on a build: `None` if it is not on trial. A build not yet announced counts as in stage 0.
@@ -322,17 +302,15 @@
     /// has no server for it or far more in flight than the other side (`SPILL`): a few new machines, or the
     /// last old ones, must not drown while the others idle.
     fn choose(&mut self, request: &Request) -> Option<(NodeId, f64)> {
-        let mut coin = 0.0;
-        if let Some(news) = &self.news {
-            if news.phase == Phase::Trial && !self.condemned.contains(&news.build) {
-                // The cap rises before the machines of its stage run, and counts them more than once: the
-                // coin never asks more of the new machines than their even part of what is warm.
-                coin = (COIN * news.cap).min(self.warm[0] / self.warm[1].max(1.0));
-            }
-        }
+        // The cap rises before the machines of its stage run, and counts them more than once: the coin never
+        // asks more of the new machines than their even part of what is warm.
+        let even = self.warm[0] / self.warm[1].max(1.0);
+        let trial = |n: &&StageNews| n.phase == Phase::Trial && !self.condemned.contains(&n.build);
+        let coin = self.news.as_ref().filter(trial).map_or(0.0, |news| (COIN * news.cap).min(even));
         let heads = self.dice.part() < coin;
         let stays = request.key.as_ref().is_some_and(|key| self.moved.contains(key));
-        let open = self.trials.clone().into_iter().any(|build| self.within_cap(build, request.class));
+        let trial = self.sides[1][1].first().map(|id| self.nodes[id].entry.build);
+        let open = trial.is_some_and(|build| self.within_cap(build, request.class));
         let new = if open { self.two_choices(request, 1, stays) } else { None };
         let picks = [self.two_choices(request, 0, stays), new];
         let [first, second] = if heads || stays { [picks[1].clone(), picks[0].clone()] } else { picks };
@@ -344,26 +322,26 @@
         }
     }
 
-    /// Two random choices: the one with less in flight for its speed. Nearby servers are asked first; a far
-    /// one must be `FAR` times quicker.
+    /// Two random choices nearby and two anywhere: the least chance of a late answer, at the expected time (by
+    /// in-flight), or of failing beyond what fails everywhere, plus the price of crossing zones. Guards
+    /// against a zone that carries too much.
     fn two_choices(&mut self, request: &Request, side: usize, stays: bool) -> Option<(NodeId, f64)> {
         let mut best: Option<(NodeId, f64, f64)> = None;
-        for (pool, weight) in [(0, 1.0), (1, FAR)] {
-            if best.as_ref().is_some_and(|b| self.nodes[&b.0].inflight == 0) {
-                break;
-            }
-            let pool = std::mem::take(&mut self.sides[side][pool]);
+        for place in 0..2 {
+            let pool = std::mem::take(&mut self.sides[side][place]);
             for _ in 0..2 {
                 let Some(id) = self.draw(&pool, request, stays) else { break };
                 let predicted = self.predicted(&id);
                 let node = &self.nodes[&id];
-                let far = if self.set.zone == Some(node.entry.zone) { 1.0 } else { weight };
-                let rank = predicted * (node.load + 1.0) * far * (1.0 + FAIL_COST * node.failing);
-                if best.as_ref().is_none_or(|b| rank < b.2) {
-                    best = Some((id, predicted, rank));
+                let far = f64::from(u8::from(self.set.zone != Some(node.entry.zone)));
+                let sound = 1.0 - (node.failing - self.heard.failing).max(0.0);
+                let in_time = -(-(request.aim - self.now).0.max(1.0) / predicted).exp_m1();
+                let cost = far * self.set.cross_zone_price - sound * in_time;
+                if best.as_ref().is_none_or(|b| cost < b.2) {
+                    best = Some((id, predicted, cost));
                 }
             }
-            self.sides[side][usize::from(weight > 1.0)] = pool;
+            self.sides[side][place] = pool;
         }
         best.map(|(id, predicted, _)| (id, predicted))
     }
@@ -393,41 +371,37 @@
             _ => true,
         };
         let awake = self.now >= node.aside_until && (!stays || self.is_newest(build));
-        awake
-            && kept
-            && !request.tried.contains(id)
-            && self.within_cap(build, request.class)
-            && self.cold_room(id)
+        let anew = kept && !request.tried.contains(id);
+        awake && anew && self.within_cap(build, request.class) && self.cold_room(id)
     }
 
-    /// Keeps what picks need of the list: the servers in service by side (earlier builds, then builds on
-    /// trial or sent back), nearby ones and all; and the warm capacity, in machines, of the newest build and
-    /// of all. Told of a change at once, of warming by the beat.
+    /// Keeps what picks need: the servers in service by side (earlier builds, then those on trial or sent
+    /// back), near ones and all, and the warm capacity, in machines, of the newest build and of all.
     fn survey(&mut self) {
         self.sides = Default::default();
-        self.trials.clear();
         self.warm = [0.0; 2];
-        let newest = self.news.as_ref().map(|news| news.build);
         for (id, node) in self.nodes.iter().filter(|(_, n)| n.entry.state == NodeState::InService) {
             let build = node.entry.build;
-            let side = usize::from(self.on_trial(build).is_some() || self.condemned.contains(&build));
+            let back = self.condemned.contains(&build) && self.is_newest(build);
+            let side = usize::from(back || self.on_trial(build).is_some());
             if self.set.zone == Some(node.entry.zone) {
                 self.sides[side][0].push(id.clone());
             }
             self.sides[side][1].push(id.clone());
-            if side == 1 && !self.trials.contains(&build) {
-                self.trials.push(build);
-            }
             let warmth = self.warmth(node);
-            self.warm[0] += if newest.is_some_and(|newest| build >= newest) { warmth } else { 0.0 };
+            self.warm[0] += if self.is_newest(build) { warmth } else { 0.0 };
             self.warm[1] += warmth;
         }
     }
 
-    /// Expected answer time: the node's mean, scaled by what is in flight now against then.
+    /// Expected answer time: the node's mean, scaled by what is in flight now against then; the longer ago
+    /// it answered, the more it counts as its like, the nodes of its zone and kind.
     fn predicted(&self, id: &NodeId) -> f64 {
         let node = &self.nodes[id];
-        let latency = node.latency.unwrap_or(self.mean.max(1.0)) / self.warmth(node);
+        let like = self.heard.likes.get(&(node.entry.zone, node.entry.kind));
+        let like = like.map_or(self.heard.mean.value.max(1.0), |like| like.0);
+        let fresh = (-((self.now - node.seen) / MEMORY)).exp();
+        let latency = node.latency.map_or(like, |own| like + fresh * (own - like)) / self.warmth(node);
         latency * (f64::from(node.inflight) + 1.0) / (node.load + 1.0)
     }
 
@@ -438,9 +412,8 @@
         (self.set.cold_from + (1.0 - self.set.cold_from) * age).min(1.0)
     }
 
-    /// Rule 4: a cold node gets at most its warmth's share of our own requests, so that all marshals together
-    /// stay well under the multiple whatever the coin and the list say. The budget starts at a random part
-    /// of a request: hundreds of marshals with a whole one each would push it over in one burst.
+    /// Rule 4: a cold node gets at most its share by warmth of our own requests, whatever the coin says. The
+    /// budget starts at a random part of a request: hundreds of whole ones would push it over in one burst.
     fn cold_room(&mut self, id: &NodeId) -> bool {
         let warmth = self.warmth(&self.nodes[id]);
         if warmth >= 1.0 {
@@ -460,19 +433,37 @@
         let (node, verdict, latency) = end;
         let Some(attempt) = self.attempts.remove(&(id.clone(), copy)) else { return };
         self.health(&node, attempt.crowd, verdict, latency);
-        self.score(&node, &attempt, verdict, latency);
-        let Some(mut request) = self.requests.remove(&id) else { return };
-        if settled {
-            let moves = self.set.keys_stay && verdict == Verdict::Ok && self.is_newest(attempt.build);
-            self.moved.extend(request.key.filter(|_| moves));
-            return;
-        }
+        let Some(mut request) = self.requests.remove(&id) else {
+            return self.score(&node, &attempt, verdict, latency);
+        };
+        let (build, erred) = (attempt.build, verdict == Verdict::Error);
         let unrun = matches!(verdict, Verdict::Full | Verdict::ConnectFailed | Verdict::Moot);
         // The attempt itself remembers its node's group: the node may have left the list by now.
         if !unrun && request.ran.is_none() {
             request.ran = Some((attempt.home.0, attempt.home.1, attempt.sent));
         }
-        if self.may_retry(&request) {
+        let doubted = request.erred.take();
+        let cured = if self.heard.cured.n > 0.0 { self.heard.cured.value } else { 1.0 };
+        let helps = !erred || self.is_newest(build) || self.dice.part() < cured.max(FRESH);
+        let again = !settled && helps && !(erred && doubted.is_some()) && self.may_retry(&request);
+        // An error may be the request's own, that any node gives: the next attempt tells; where none can
+        // follow, the share cured of late. Two are no evidence and bring no third. Guards against worthless
+        // requests and errors of what all depend on; a build that fails a class nearly always shows less.
+        if let Some((first, at)) = &doubted {
+            self.heard.cured.add(f64::from(u8::from(!erred)), FRESH * 3.0);
+            if !erred {
+                self.score(at, first, Verdict::Error, latency);
+            }
+        }
+        if erred && again {
+            request.erred = Some((attempt, node));
+        } else if !erred || (doubted.is_none() && self.dice.part() < cured) {
+            self.score(&node, &attempt, verdict, latency);
+        }
+        if settled {
+            let moves = self.set.keys_stay && verdict == Verdict::Ok && self.is_newest(build);
+            self.moved.extend(request.key.filter(|_| moves));
+        } else if again {
             self.retry_tokens -= 1.0;
             self.send(id, request, out);
         } else {
@@ -489,7 +480,8 @@
             (Effect::Deduplicated, Some((_, _, sent))) => self.now + self.set.tick < *sent + class.memory,
         };
         let left = request.aim.min(request.deadline) - self.now;
-        allowed && request.tries < self.set.try_limit && self.retry_tokens >= 1.0 && left.0 > self.mean
+        let paid = self.retry_tokens >= 1.0 && request.tries < self.set.try_limit;
+        allowed && paid && left.0 > self.heard.mean.value
     }
 
     /// Running means of a node. Attempts without any answer in a row set it aside, longer each time: a dead,
@@ -503,18 +495,24 @@
         }
         let failed = f64::from(u8::from(verdict != Verdict::Ok));
         node.failing += FRESH * (failed - node.failing);
+        self.heard.failing += FRESH * 0.2 * (failed - self.heard.failing);
         let unanswered = matches!(verdict, Verdict::Timeout | Verdict::ConnectFailed | Verdict::Reset);
-        self.unanswered += FRESH * 0.2 * (f64::from(u8::from(unanswered)) - self.unanswered);
-        if verdict == Verdict::Ok || verdict == Verdict::Timeout {
-            let mean = node.latency.unwrap_or(latency.0);
+        self.heard.unanswered += FRESH * 0.2 * (f64::from(u8::from(unanswered)) - self.heard.unanswered);
+        if !self.stood && (verdict == Verdict::Ok || verdict == Verdict::Timeout) {
+            let weight = |since: Ms| FRESH.max(-(-((now - since) / MEMORY)).exp_m1());
+            let like = self.heard.likes.entry((node.entry.zone, node.entry.kind)).or_insert((latency.0, now));
+            like.0 += weight(like.1) * (latency.0.min(OUTLIER * like.0) - like.0);
+            like.1 = now;
+            let mean = node.latency.unwrap_or(like.0);
             // One costly request among many must not make a quick node look jammed: a jam shows in a few.
-            node.latency = Some(mean + FRESH * (latency.0.min(OUTLIER * mean) - mean));
-            node.load += FRESH * (crowd - node.load); // with the latency it brought, never ahead of it
+            node.latency = Some(mean + weight(node.seen) * (latency.0.min(OUTLIER * mean) - mean));
+            node.load += weight(node.seen) * (crowd - node.load); // with the latency it brought, never ahead
+            node.seen = now;
         }
         if unanswered {
             node.silent += 1;
             // When much goes unanswered everywhere it is load: shutting nodes would only crowd the rest.
-            if self.unanswered < WIDESPREAD && (node.silent >= SILENT || verdict != Verdict::Timeout) {
+            if self.heard.unanswered < WIDESPREAD && (node.silent >= SILENT || verdict != Verdict::Timeout) {
                 node.aside_until = now + node.pause;
                 node.pause = (node.pause * 2.0).min(PAUSE * 8.0);
             }
@@ -526,7 +524,7 @@
 
     /// The covariate: the earlier build's mean score for the class just before the send (page).
     fn covariate(&mut self, class: ClassId) -> f64 {
-        let lane = &mut self.earlier[class.0];
+        let lane = &mut self.heard.earlier[class.0];
         while lane.front().is_some_and(|&(at, _)| at < self.now - COVARIATE_SPAN) {
             lane.pop_front();
         }
@@ -542,35 +540,41 @@
     /// attempt that outlasts `SLOW_MEANS` of the earlier build's mean on such a machine scores as one.
     fn score(&mut self, id: &NodeId, attempt: &Attempt, verdict: Verdict, latency: Ms) {
         let newest = self.is_newest(attempt.build);
-        let pace = self.pace();
-        self.dose += pace * (f64::from(u8::from(newest)) - self.dose);
-        // A node that answers nothing at all is dead or cut off, whatever it runs: no evidence on its build.
+        // Less warm capacity than before the build, as its machines replace others, slows all by itself.
+        let strained = self.warm[1] < STRAIN * self.step.whole;
+        let full = self.pace();
+        let pace = if strained { 0.0 } else { full };
+        self.step.dose += pace * (f64::from(u8::from(newest)) - self.step.dose);
+        // A node that answers nothing is dead or cut off, whatever it runs; what came while we stood still
+        // took as long as our own pause: neither is evidence on a build.
         let dead = matches!(verdict, Verdict::ConnectFailed | Verdict::Reset)
             || self.nodes.get(id).is_some_and(|n| n.silent >= SILENT);
-        if matches!(verdict, Verdict::Moot | Verdict::Cancelled | Verdict::Full) || dead || !attempt.scored {
+        let told = attempt.scored && !dead && !self.stood;
+        if !told || matches!(verdict, Verdict::Moot | Verdict::Cancelled | Verdict::Full) {
             return;
         }
         let new = self.on_trial(attempt.build).is_some();
         let aim = self.set.classes[attempt.class.0].aim.0;
         let took = if verdict == Verdict::Ok { latency.0.min(aim) } else { aim };
-        let calm = self.calm.entry((attempt.class, attempt.kind)).or_insert(took);
-        let level = took / calm.max(1.0);
+        let calm = self.heard.calm.entry((attempt.class, attempt.kind)).or_default();
         let settled = self.now - self.trial.since > SETTLED;
         if !new && settled && self.news.as_ref().is_some_and(|n| n.phase != Phase::Trial) {
-            *calm += FRESH * 0.2 * (took - *calm);
+            calm.add(took, FRESH * 0.2);
+        }
+        let level = if calm.n < 4.0 { 1.0 } else { took / calm.value.max(1.0) };
+        if verdict != Verdict::Error {
+            self.step.level += pace * (level - self.step.level);
+            self.step.missed += full * (f64::from(u8::from(took >= aim)) - self.step.missed);
         }
-        self.level += pace * (level - self.level);
-        self.missed += pace * (f64::from(u8::from(took >= aim)) - self.missed);
-        let mean = self.means.get(&(attempt.class, attempt.kind)).copied();
-        let slow = mean.is_some_and(|mean| latency.0 > SLOW_MEANS * mean);
+        let mean = self.heard.means.entry((attempt.class, attempt.kind)).or_default();
+        let slow = mean.n >= 4.0 && latency.0 > SLOW_MEANS * mean.value;
         let score = f64::from(u8::from(verdict != Verdict::Ok || slow));
         if !new {
             if verdict == Verdict::Ok {
-                let mean = self.means.entry((attempt.class, attempt.kind)).or_insert(latency.0);
-                *mean += FRESH * 0.2 * (latency.0 - *mean);
-                self.mean += FRESH * 0.2 * (latency.0 - self.mean);
+                mean.add(latency.0, FRESH * 0.2);
+                self.heard.mean.add(latency.0, FRESH * 0.2);
             }
-            self.earlier[attempt.class.0].push_back((self.now, score));
+            self.heard.earlier[attempt.class.0].push_back((self.now, score));
         }
         self.trial.sums[attempt.class.0][usize::from(new)].add(score, attempt.covariate);
         let error = f64::from(u8::from(verdict == Verdict::Error));
@@ -596,7 +600,10 @@
         if self.condemned.contains(&news.build) {
             return;
         }
-        self.watch(news.build, out);
+        if self.now >= self.next_watch {
+            self.next_watch = self.now + BETWEEN;
+            self.watch(news.build, out);
+        }
         if news.phase == Phase::Trial || self.now - self.trial.since < SETTLED {
             self.in_step(news.build, out);
         }
@@ -604,13 +611,12 @@
             return;
         }
         let outcomes: f64 = self.trial.sums.iter().map(|arms| arms[1].n).sum();
-        if self.trial.looks < LOOKS && outcomes >= LEAST && self.now >= self.trial.next_look {
+        if self.trial.looks < LOOKS && outcomes >= self.least && self.now >= self.trial.next_look {
             self.trial.looks += 1;
             self.trial.next_look = self.now + BETWEEN;
             let (delta, _, _, p) = adjusted_test(&self.trial.sums, &self.counts);
-            if p < LEVEL / LOOKS as f64 && delta > LEAST_HARM {
-                self.condemned.insert(news.build);
-                out.push(Action::Log(format!("back: build {} stage {} p {p:.5}", news.build.0, news.stage)));
+            if p < self.level_back / LOOKS as f64 && delta > LEAST_HARM {
+                self.condemn(news.build, "on trial", p, out);
             } else if p >= HOLD_P || delta <= LEAST_HARM {
                 self.trial.clean = true;
             }
@@ -624,56 +630,54 @@
         }
     }
 
-    /// After a release no earlier machine is left to compare with, and a build may turn bad late. What it
-    /// fails by itself (errors and wrong answers; not slowness, which load and shared trouble bring) is
-    /// tested against the build before it. Most of its machines must fail: a few failing ones are a machine
-    /// trouble. Covers every harm that shows as errors once a stage has passed; could harm if something
-    /// that all servers depend on answered with errors.
+    /// From here on this marshal stands for sending the build back.
+    fn condemn(&mut self, build: Build, how: &str, p: f64, out: &mut Vec<Action>) {
+        self.condemned.insert(build);
+        out.push(Action::Log(format!("back: build {} {how}, p or fit {p:.4}", build.0)));
+    }
+
+    /// After a release no earlier machine is left to compare with, and a build may turn bad late: its errors
+    /// and wrong answers (not slowness, which load brings) are tested against the build before it. They must
+    /// come from many of its machines: a few failing ones are a machine trouble.
     fn watch(&mut self, build: Build, out: &mut Vec<Action>) {
-        if self.now < self.next_watch {
-            return;
-        }
-        self.next_watch = self.now + BETWEEN;
         let (delta, _, _, p) = adjusted_test(&self.after, &self.counts);
         let outcomes: f64 = self.after.iter().map(|arms| arms[1].n).sum();
         let nodes = self.nodes.values().filter(|n| n.entry.build == build);
-        let (all, bad) = nodes.fold((0, 0), |(all, bad), n| (all + 1, bad + usize::from(n.errors > 0)));
-        if outcomes >= LEAST && delta > LEAST_HARM && p < LEVEL / LOOKS as f64 && 2 * bad >= all {
-            self.condemned.insert(build);
-            out.push(Action::Log(format!("back after release: build {} delta {delta:.4} p {p:.5}", build.0)));
+        let (all, bad, errors) = nodes
+            .fold((0, 0, 0), |(all, bad, sum), n| (all + 1, bad + u32::from(n.errors > 0), sum + n.errors));
+        let harm = delta > LEAST_HARM && p < self.level_back / LOOKS as f64;
+        if harm && outcomes >= self.least && 2 * bad >= errors.min(all) {
+            self.condemn(build, "by its errors", p, out);
         }
     }
 
-    /// Harm that slows every server leaves no difference between the builds, and at the last stage no earlier
-    /// machine is left to compare with. What remains is the dose: the level of answer times over the calm
-    /// before the build, regressed on the build's share of our attempts. A shared trouble sets in whenever it
-    /// likes; harm by the build rises with its share. Covers a slow build that has spread, too; could harm
-    /// where a shared trouble happens to set in just as a stage moves on.
+    /// Harm that slows every server leaves no difference between the builds. What remains is the dose: the
+    /// level of answer times over the calm before the build, regressed on the build's share of our attempts.
+    /// A shared trouble sets in whenever it likes; harm by the build rises with its share. Covers a slow build
+    /// that has spread, too; could harm where a shared trouble sets in just as a stage moves on.
     fn in_step(&mut self, build: Build, out: &mut Vec<Action>) {
-        self.steps.fade(FADE);
-        self.steps.add(self.level.max(1e-3).ln(), self.dose);
-        let (xx, yy, xy) = self.steps.centred();
+        self.step.sums.fade(FADE);
+        self.step.sums.add(self.step.level.max(1e-3).ln(), self.step.dose);
+        let (xx, yy, xy) = self.step.sums.centred();
         let fit = if xx > 1e-9 && yy > 1e-9 && xy > 0.0 { xy * xy / (xx * yy) } else { 0.0 };
         // After the release a shared trouble is as likely and going back costs more: only a collapse counts.
         let released = self.news.as_ref().is_some_and(|n| n.phase == Phase::Released);
-        let collapse = !released || (self.missed >= 0.5 && fit >= STEP_FIT_LATE);
-        let harm = self.level >= STEP_LEVEL && fit >= STEP_FIT && xx / self.steps.n > STEP_SPREAD;
-        self.in_step_for = if harm && collapse { self.in_step_for + 1 } else { 0 };
-        if self.in_step_for >= STEP_BEATS {
-            self.condemned.insert(build);
-            out.push(Action::Log(format!("back in step: build {} fit {fit:.2}", build.0)));
+        let collapse = !released || (self.step.missed >= 0.5 && fit >= STEP_FIT_LATE);
+        let harm = self.step.level >= STEP_LEVEL && fit >= STEP_FIT && xx / self.step.sums.n > STEP_SPREAD;
+        self.step.beats = if harm && collapse { self.step.beats + 1 } else { 0 };
+        if self.step.beats >= STEP_BEATS {
+            self.condemn(build, "in step", fit, out);
         }
     }
 
     /// Casts the vote that stands for what this marshal holds, again when it lapses or went unheard.
     fn vote(&mut self, out: &mut Vec<Action>) {
         let Some(news) = &self.news else { return };
+        let held = self.trial.held.is_some();
         let vote = match (news.phase, self.condemned.contains(&news.build), self.set.control) {
             (Phase::Trial | Phase::Released, true, _) => Vote::Back,
             (Phase::Trial, false, Control::Votes) if self.trial.clean => Vote::On,
-            (Phase::Trial, false, Control::Clocked) if self.trial.held.is_some() && !self.trial.clean => {
-                Vote::Hold
-            }
+            (Phase::Trial, false, Control::Clocked) if held && !self.trial.clean => Vote::Hold,
             _ => return,
         };
         if let Some(cast) = &self.cast {
@@ -714,7 +718,8 @@
                 self.cut = (news.cap < cap).then_some((self.now, cap)); // a raise counts all of the window
             }
             if build < news.build {
-                (self.cut, self.dose, self.steps) = (None, 0.0, Sums::default());
+                (self.cut, self.step.dose, self.step.sums) = (None, 0.0, Sums::default());
+                self.step.whole = self.warm[1];
                 self.exposed.retain(|&b, _| b >= news.build);
                 self.moved.clear();
                 // A build that was kept is what the next one is compared with.
@@ -728,19 +733,21 @@
             self.condemned.insert(news.build);
             self.moved.clear();
         }
-        if before.is_none_or(|(build, stage, phase, _)| {
-            (build, stage, phase) != (news.build, news.stage, news.phase)
-        }) {
-            let sums = vec![Default::default(); self.set.classes.len()];
+        let at = before.map(|(build, stage, phase, _)| (build, stage, phase));
+        if at != Some((news.build, news.stage, news.phase)) {
+            // Units of a stage that was never looked at are still fresh for the next one.
+            let carried = self.trial.looks == 0 && before.is_some_and(|(build, ..)| build == news.build);
+            let sums = std::mem::take(&mut self.trial.sums);
+            let sums = if carried { sums } else { vec![Default::default(); sums.len()] };
             let begun = before.is_none() && news.phase != Phase::Trial;
             let since = if begun { Ms(f64::MIN) } else { self.now - news.age };
             self.trial = Trial { sums, since, ..Trial::default() };
             for arms in &mut self.after {
                 arms[1] = Sums::default(); // harm that comes late must not drown in clean earlier stages
             }
-            out.push(Action::Log(format!("build {} stage {} {:?}", news.build.0, news.stage, news.phase)));
         }
         self.news = Some(news);
+        self.survey();
         self.vote(out);
     }
 
@@ -782,5 +789,6 @@
                 }
             }
         }
+        self.survey();
     }
 }
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -1,7 +1,8 @@
 //! What a marshal holds of nodes, requests and trials: plain records, free of any decision.
 
 use crate::interface::*;
-use crate::moments::Sums;
+use crate::moments::{Mean, Sums};
+use std::collections::{BTreeMap, VecDeque};
 
 /// A server as this marshal knows it.
 #[derive(Default)]
@@ -11,6 +12,8 @@
     /// Running means of latency and of our requests in flight at the send.
     pub latency: Option<f64>,
     pub load: f64,
+    /// When it last answered.
+    pub seen: Ms,
     /// Running share of attempts that failed.
     pub failing: f64,
     /// Errors and complaints since its start.
@@ -34,6 +37,15 @@
     pub tried: Vec<NodeId>,
     /// The first attempt that may have run: its node's zone and cell, and when it was sent.
     pub ran: Option<(ZoneId, u32, Ms)>,
+    /// The attempt before, if it ended in an error that is not judged yet, and its node.
+    pub erred: Option<(Attempt, NodeId)>,
+}
+
+impl Request {
+    /// One that was just taken.
+    pub fn new(class: ClassId, key: Option<Key>, aim: Ms, deadline: Ms) -> Request {
+        Request { class, key, aim, deadline, tries: 0, tried: Vec::new(), ran: None, erred: None }
+    }
 }
 
 /// Where, how and after how long an attempt ended.
@@ -69,3 +81,37 @@
     pub at: Ms,
     pub answered: bool,
 }
+
+/// What answers have told, over all nodes.
+#[derive(Default)]
+pub(crate) struct Heard {
+    /// The earlier build's scores within the covariate's span, by class.
+    pub earlier: Vec<VecDeque<(Ms, f64)>>,
+    /// The earlier build's mean latency, by class and kind and over all.
+    pub means: BTreeMap<(ClassId, KindId), Mean>,
+    pub mean: Mean,
+    /// Mean latency while no build is on trial.
+    pub calm: BTreeMap<(ClassId, KindId), Mean>,
+    /// Mean latency of the nodes of a zone and kind, and when it was last heard.
+    pub likes: BTreeMap<(ZoneId, KindId), (f64, Ms)>,
+    /// Running shares of attempts without an answer, of failed ones, and of errors that a further attempt
+    /// elsewhere cured.
+    pub unanswered: f64,
+    pub failing: f64,
+    pub cured: Mean,
+}
+
+/// Answer times against the dose of the newest build.
+#[derive(Default)]
+pub(crate) struct Step {
+    /// Share of our attempts at the newest build.
+    pub dose: f64,
+    /// Level of answer times against the calm before it, and the share that missed the aim.
+    pub level: f64,
+    pub missed: f64,
+    /// Fading sums of dose (covariate) and level (score), and for how long they have stood in step.
+    pub sums: Sums,
+    pub beats: u32,
+    /// Warm capacity as the build was offered.
+    pub whole: f64,
+}
