--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -322,8 +322,8 @@
         }
     }
 
-    /// Two random choices nearby and two anywhere: the least chance of a late answer, at the expected time (by
-    /// in-flight), or of failing beyond what fails everywhere, plus the price of crossing zones. Guards
+    /// Two random choices nearby and two anywhere: the least chance of a late answer, at the expected time
+    /// (by in-flight), or of failing beyond what fails everywhere, plus the price of crossing zones. Guards
     /// against a zone that carries too much.
     fn two_choices(&mut self, request: &Request, side: usize, stays: bool) -> Option<(NodeId, f64)> {
         let mut best: Option<(NodeId, f64, f64)> = None;
@@ -653,8 +653,8 @@
 
     /// Harm that slows every server leaves no difference between the builds. What remains is the dose: the
     /// level of answer times over the calm before the build, regressed on the build's share of our attempts.
-    /// A shared trouble sets in whenever it likes; harm by the build rises with its share. Covers a slow build
-    /// that has spread, too; could harm where a shared trouble sets in just as a stage moves on.
+    /// A shared trouble sets in whenever it likes; harm by the build rises with its share. Covers a slow
+    /// build that has spread, too; could harm where a shared trouble sets in just as a stage moves on.
     fn in_step(&mut self, build: Build, out: &mut Vec<Action>) {
         self.step.sums.fade(FADE);
         self.step.sums.add(self.step.level.max(1e-3).ln(), self.step.dose);
