Thin marshals judge harm in step over more answers; the bar of slowness follows the quorum's level

Cause: marshals with a few requests a second saw either nothing of a build that slows all servers, or chance as harm. An error is cured by an answer only, not by a time-out.

--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -13,8 +13,7 @@
 /// A machine's first time that gives no evidence (page), and the span of the covariate (page).
 const UNSCORED: Ms = Ms(3000.0);
 const COVARIATE_SPAN: Ms = Ms(1000.0);
-/// Outcomes before a look at a stage (page), and the time between its looks, so that they span a stage
-/// whatever the traffic: harm that comes late in a stage is still looked at.
+/// Outcomes before a look (page), and the time between looks, so that they span a stage at any traffic.
 const LEAST: f64 = 20.0;
 const LOOKS: usize = 3;
 const BETWEEN: Ms = Ms(1500.0);
@@ -23,10 +22,11 @@
 const HOLD_P: f64 = 0.1;
 /// A surplus of failures below this is left alone: with many outcomes the test finds any difference.
 const LEAST_HARM: f64 = 0.015;
-/// The clock after the newest start (page); the hold lasts as long again.
+/// Clock after the newest start (page); the hold lasts as long again.
 const CLOCK: Ms = Ms(2500.0);
 /// Harm in step with the dose: level of answer times over the calm, fit (squared correlation; after a release
-/// above the 0.83 that shared slowness reached on good builds), spread of dose, for so many beats; fading.
+/// above the 0.83 of shared slowness on good builds), spread of dose, for so many beats; fading; the part of
+/// the warm capacity below which nothing is judged.
 const STEP_LEVEL: f64 = 1.8;
 const STEP_FIT: f64 = 0.7;
 const STEP_FIT_LATE: f64 = 0.88;
@@ -38,11 +38,11 @@
 const SLOW_MEANS: f64 = 8.0;
 /// A latency counts in a node's mean at no more than this many times that mean.
 const OUTLIER: f64 = 4.0;
-/// Least weight of a new latency in a running mean, and how long one stays news to a rare visitor.
+/// Least weight of a new value in a running mean, and how long one stays news to a rare visitor.
 const FRESH: f64 = 0.1;
 const MEMORY: Ms = Ms(4000.0);
-/// A pick leaves the coin's build when it has over this many times (the other pick's plus one) in flight.
-/// By in-flight and not by speed: a slow build must go on giving evidence.
+/// A pick leaves the coin's build at over this many times (the other pick's plus one) in flight; not by
+/// speed, since a slow build must go on giving evidence.
 const SPILL: u32 = 2;
 /// Draws of a server before the list is walked.
 const DRAWS: usize = 6;
@@ -108,9 +108,8 @@
     exposed: BTreeMap<Build, Vec<Times>>,
     recent: Times,
     counts: Vec<f64>,
-    /// One-sided level of a vote back, all looks together, and the outcomes that a look needs at it.
-    level_back: f64,
-    least: f64,
+    /// One-sided level of a vote back over all looks, outcomes that a look needs, and the bar of slowness.
+    bars: (f64, f64, f64),
     retry_tokens: f64,
     heard: Heard,
     moved: BTreeSet<Key>,
@@ -136,14 +135,15 @@
         let classes = set.classes.len();
         let sums: Vec<[Sums; 2]> = vec![Default::default(); classes];
         // Where many must vote a build back, as many as needed may err together no more often than one alone
-        // would; halved for what they share. A look needs outcomes as the logarithm of that level.
+        // would; halved for what they share. The outcomes of a look and the bar of slowness go by the
+        // logarithm of that level: fewer and milder signs are enough for each.
         let (all, back) = (u64::from(set.marshals.max(1)), u64::from(set.back_votes.max(1)));
         let err = |level: f64| Binomial::new(level, all).map_or(1.0, |law| law.sf(back - 1));
         let level = (1..50).map(|i| f64::from(i) * 0.01).take_while(|&level| err(level) <= LEVEL).last();
         let level_back = LEVEL.max(level.unwrap_or(0.0) * 0.5);
+        let strict = level_back.ln() / LEVEL.ln();
         Marshal {
-            level_back,
-            least: (LEAST * level_back.ln() / LEVEL.ln()).ceil(),
+            bars: (level_back, (LEAST * strict).ceil(), SLOW_MEANS * strict),
             dice: Dice::new(seed),
             taken: vec![Times::default(); classes],
             counts: vec![1.0; classes],
@@ -198,7 +198,7 @@
         };
         let class = &self.set.classes[request.class.0];
         // Overload: an answer expected late earns next to nothing and delays the others. A node with nothing
-        // of ours is always tried, so that a bad memory of a node can't shut it for good.
+        // of ours is always tried: a bad memory can't shut it for good.
         let idle = self.nodes[&node].inflight == 0;
         let tightest = self.set.classes.iter().fold(class.aim, |aim, other| aim.min(other.aim));
         let patience = tightest.min(request.deadline - self.now) * PATIENCE;
@@ -259,7 +259,7 @@
         self.step.missed += early * self.pace() * (1.0 - self.step.missed);
     }
 
-    /// The cap on a build: `None` if it is not on trial. A build not yet announced counts as in stage 0.
+    /// The cap on a build, if it is on trial. One not yet announced counts as in stage 0.
     fn on_trial(&self, build: Build) -> Option<f64> {
         match &self.news {
             Some(n) if build < n.build || (build == n.build && n.phase == Phase::Released) => None,
@@ -298,9 +298,8 @@
         since as f64 <= bound(cap) && old_holds
     }
 
-    /// The coin, then two random choices on either side of it. The coin's build keeps the request unless it
-    /// has no server for it or far more in flight than the other side (`SPILL`): a few new machines, or the
-    /// last old ones, must not drown while the others idle.
+    /// The coin, then two random choices on either side. The coin's build keeps the request unless it has no
+    /// server or far more in flight (`SPILL`): a few new machines, or the last old ones, must not drown.
     fn choose(&mut self, request: &Request) -> Option<(NodeId, f64)> {
         // The cap rises before the machines of its stage run, and counts them more than once: the coin never
         // asks more of the new machines than their even part of what is warm.
@@ -346,8 +345,8 @@
         best.map(|(id, predicted, _)| (id, predicted))
     }
 
-    /// One random server that may take the request: drawn and tested, so that the work does not grow with
-    /// the fleet; where the draws fail, the first that may from the last draw on.
+    /// One random server that may take the request: drawn and tested, for work that does not grow with the
+    /// fleet; where the draws fail, the first that may from the last draw on.
     fn draw(&mut self, pool: &[NodeId], request: &Request, stays: bool) -> Option<NodeId> {
         let mut at = 0;
         for _ in 0..DRAWS {
@@ -360,8 +359,7 @@
         after.iter().chain(before).find(|id| self.usable(id, request, stays)).cloned()
     }
 
-    /// Whether a server may take the request: in service and not set aside, in the group that drops its
-    /// repeats, not tried yet, within the cap, and with room if it is cold.
+    /// Whether a server may take the request: awake, in its group, not tried yet, within the cap, with room.
     fn usable(&mut self, id: &NodeId, request: &Request, stays: bool) -> bool {
         let Some(node) = self.nodes.get(id) else { return false };
         let build = node.entry.build;
@@ -375,9 +373,11 @@
         awake && anew && self.within_cap(build, request.class) && self.cold_room(id)
     }
 
-    /// Keeps what picks need: the servers in service by side (earlier builds, then those on trial or sent
-    /// back), near ones and all, and the warm capacity, in machines, of the newest build and of all.
+    /// Keeps what picks need: servers in service by side (earlier builds, those on trial or sent back), near
+    /// and all, and the warm capacity, in machines, of the newest build and of all.
     fn survey(&mut self) {
+        let span = self.recent.trim(self.now - RATE_SPAN) as f64 * (self.set.cold / RATE_SPAN);
+        let seldom = span < 4.0 * self.nodes.len() as f64;
         self.sides = Default::default();
         self.warm = [0.0; 2];
         for (id, node) in self.nodes.iter().filter(|(_, n)| n.entry.state == NodeState::InService) {
@@ -389,7 +389,9 @@
             }
             self.sides[side][1].push(id.clone());
             let warmth = self.warmth(node);
-            self.warm[0] += if self.is_newest(build) { warmth } else { 0.0 };
+            // A cold machine that sees few requests rarely has room just when it is drawn.
+            let part = if warmth < 1.0 && seldom { warmth * 0.5 } else { warmth };
+            self.warm[0] += if self.is_newest(build) { part } else { 0.0 };
             self.warm[1] += warmth;
         }
     }
@@ -419,10 +421,9 @@
         if warmth >= 1.0 {
             return true;
         }
-        let rate = self.recent.trim(self.now - RATE_SPAN) as f64 / RATE_SPAN.0;
-        let rate = rate / self.warm[1].max(1.0) * warmth * self.set.fall_multiple * 0.4;
-        let now = self.now;
-        let Some(node) = self.nodes.get_mut(id) else { return false };
+        let taken = self.recent.trim(self.now - RATE_SPAN) as f64 / RATE_SPAN.0;
+        let rate = taken / self.warm[1].max(1.0) * warmth * self.set.fall_multiple * 0.4;
+        let (now, Some(node)) = (self.now, self.nodes.get_mut(id)) else { return false };
         node.tokens = (node.tokens + rate * (now - node.counted).0).min(1.0 + rate * 300.0);
         node.counted = now;
         node.tokens >= 1.0
@@ -450,8 +451,10 @@
         // follow, the share cured of late. Two are no evidence and bring no third. Guards against worthless
         // requests and errors of what all depend on; a build that fails a class nearly always shows less.
         if let Some((first, at)) = &doubted {
-            self.heard.cured.add(f64::from(u8::from(!erred)), FRESH * 3.0);
-            if !erred {
+            if erred || verdict == Verdict::Ok {
+                self.heard.cured.add(f64::from(u8::from(!erred)), FRESH * 3.0);
+            }
+            if verdict == Verdict::Ok {
                 self.score(at, first, Verdict::Error, latency);
             }
         }
@@ -484,8 +487,7 @@
         allowed && paid && left.0 > self.heard.mean.value
     }
 
-    /// Running means of a node. Attempts without any answer in a row set it aside, longer each time: a dead,
-    /// cut-off or lost machine that the list still shows.
+    /// Running means of a node. Attempts in a row without any answer set it aside, ever longer.
     fn health(&mut self, id: &NodeId, crowd: f64, verdict: Verdict, latency: Ms) {
         let now = self.now;
         let Some(node) = self.nodes.get_mut(id) else { return };
@@ -533,7 +535,7 @@
 
     /// Weight of one outcome in a mean over about a second of our own traffic.
     fn pace(&mut self) -> f64 {
-        (RATE_SPAN.0 / 1000.0 / self.recent.trim(self.now - RATE_SPAN).max(1) as f64).clamp(0.01, 0.1)
+        (RATE_SPAN.0 / 1000.0 / self.recent.trim(self.now - RATE_SPAN).max(1) as f64).clamp(0.01, 0.03)
     }
 
     /// A unit of evidence: errors and time-outs score 1 (page). Slowness shows only through time-outs, so an
@@ -542,8 +544,7 @@
         let newest = self.is_newest(attempt.build);
         // Less warm capacity than before the build, as its machines replace others, slows all by itself.
         let strained = self.warm[1] < STRAIN * self.step.whole;
-        let full = self.pace();
-        let pace = if strained { 0.0 } else { full };
+        let (full, pace) = (self.pace(), if strained { 0.0 } else { self.pace() });
         self.step.dose += pace * (f64::from(u8::from(newest)) - self.step.dose);
         // A node that answers nothing is dead or cut off, whatever it runs; what came while we stood still
         // took as long as our own pause: neither is evidence on a build.
@@ -567,7 +568,7 @@
             self.step.missed += full * (f64::from(u8::from(took >= aim)) - self.step.missed);
         }
         let mean = self.heard.means.entry((attempt.class, attempt.kind)).or_default();
-        let slow = mean.n >= 4.0 && latency.0 > SLOW_MEANS * mean.value;
+        let slow = mean.n >= 4.0 && latency.0 > self.bars.2 * mean.value;
         let score = f64::from(u8::from(verdict != Verdict::Ok || slow));
         if !new {
             if verdict == Verdict::Ok {
@@ -611,11 +612,11 @@
             return;
         }
         let outcomes: f64 = self.trial.sums.iter().map(|arms| arms[1].n).sum();
-        if self.trial.looks < LOOKS && outcomes >= self.least && self.now >= self.trial.next_look {
+        if self.trial.looks < LOOKS && outcomes >= self.bars.1 && self.now >= self.trial.next_look {
             self.trial.looks += 1;
             self.trial.next_look = self.now + BETWEEN;
             let (delta, _, _, p) = adjusted_test(&self.trial.sums, &self.counts);
-            if p < self.level_back / LOOKS as f64 && delta > LEAST_HARM {
+            if p < self.bars.0 / LOOKS as f64 && delta > LEAST_HARM {
                 self.condemn(news.build, "on trial", p, out);
             } else if p >= HOLD_P || delta <= LEAST_HARM {
                 self.trial.clean = true;
@@ -630,7 +631,7 @@
         }
     }
 
-    /// From here on this marshal stands for sending the build back.
+    /// From here on we stand for sending the build back.
     fn condemn(&mut self, build: Build, how: &str, p: f64, out: &mut Vec<Action>) {
         self.condemned.insert(build);
         out.push(Action::Log(format!("back: build {} {how}, p or fit {p:.4}", build.0)));
@@ -645,8 +646,8 @@
         let nodes = self.nodes.values().filter(|n| n.entry.build == build);
         let (all, bad, errors) = nodes
             .fold((0, 0, 0), |(all, bad, sum), n| (all + 1, bad + u32::from(n.errors > 0), sum + n.errors));
-        let harm = delta > LEAST_HARM && p < self.level_back / LOOKS as f64;
-        if harm && outcomes >= self.least && 2 * bad >= errors.min(all) {
+        let harm = delta > LEAST_HARM && p < self.bars.0 / LOOKS as f64;
+        if harm && outcomes >= self.bars.1 && 2 * bad >= errors.min(all) {
             self.condemn(build, "by its errors", p, out);
         }
     }
@@ -670,7 +671,7 @@
         }
     }
 
-    /// Casts the vote that stands for what this marshal holds, again when it lapses or went unheard.
+    /// Casts the vote for what this marshal holds, again when it lapses or went unheard.
     fn vote(&mut self, out: &mut Vec<Action>) {
         let Some(news) = &self.news else { return };
         let held = self.trial.held.is_some();
@@ -733,14 +734,13 @@
             self.condemned.insert(news.build);
             self.moved.clear();
         }
-        let at = before.map(|(build, stage, phase, _)| (build, stage, phase));
-        if at != Some((news.build, news.stage, news.phase)) {
+        if before.map(|(b, s, p, _)| (b, s, p)) != Some((news.build, news.stage, news.phase)) {
             // Units of a stage that was never looked at are still fresh for the next one.
             let carried = self.trial.looks == 0 && before.is_some_and(|(build, ..)| build == news.build);
             let sums = std::mem::take(&mut self.trial.sums);
             let sums = if carried { sums } else { vec![Default::default(); sums.len()] };
-            let begun = before.is_none() && news.phase != Phase::Trial;
-            let since = if begun { Ms(f64::MIN) } else { self.now - news.age };
+            let new = before.is_some() || news.phase == Phase::Trial;
+            let since = if new { self.now - news.age } else { Ms(f64::MIN) };
             self.trial = Trial { sums, since, ..Trial::default() };
             for arms in &mut self.after {
                 arms[1] = Sums::default(); // harm that comes late must not drown in clean earlier stages
