--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -4,7 +4,7 @@
 
 use crate::interface::*;
 use crate::moments::{Dice, Sums, Times};
-use crate::state::{Attempt, Cast, Ended, Heard, Node, Request, Step, Trial};
+use crate::state::{Attempt, Calls, Cast, Ended, Flow, Heard, Node, Request, Step, Trial};
 use statrs::distribution::{Binomial, ContinuousCDF, DiscreteCDF, StudentsT};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -103,30 +103,19 @@
     warm: [f64; 2],
     requests: BTreeMap<RequestId, Request>,
     attempts: BTreeMap<(RequestId, u32), Attempt>,
-    /// Requests taken and attempts at builds on trial within the window, by class.
-    taken: Vec<Times>,
-    exposed: BTreeMap<Build, Vec<Times>>,
-    recent: Times,
-    counts: Vec<f64>,
+    flow: Flow,
     /// One-sided level of a vote back over all looks, outcomes that a look needs, and the bar of slowness.
     bars: (f64, f64, f64),
-    retry_tokens: f64,
     heard: Heard,
     moved: BTreeSet<Key>,
     news: Option<StageNews>,
-    /// When the cap was last lowered, and from what.
-    cut: Option<(Ms, f64)>,
     condemned: BTreeSet<Build>,
     trial: Trial,
     /// Plain failures of the build before the newest, and of the newest since its release.
     after: Vec<[Sums; 2]>,
     next_watch: Ms,
     step: Step,
-    cast: Option<Cast>,
-    next_call: Ms,
-    next_ask: Ms,
-    ask_pause: Ms,
-    subscribed: bool,
+    calls: Calls,
 }
 
 impl Marshal {
@@ -145,14 +134,12 @@
         Marshal {
             bars: (level_back, (LEAST * strict).ceil(), SLOW_MEANS * strict),
             dice: Dice::new(seed),
-            taken: vec![Times::default(); classes],
-            counts: vec![1.0; classes],
-            retry_tokens: RETRY_MOST,
+            flow: Flow::new(classes, RETRY_MOST),
             heard: Heard { earlier: vec![VecDeque::new(); classes], ..Heard::default() },
             after: sums.clone(),
             trial: Trial { sums, ..Trial::default() },
             step: Step { level: 1.0, ..Step::default() },
-            ask_pause: PAUSE,
+            calls: Calls { ask_pause: PAUSE, ..Calls::default() },
             set,
             ..Marshal::default()
         }
@@ -174,15 +161,20 @@
             Event::Fleet(form, entries) => self.fleet(form, entries),
             Event::Stage(news) => self.stage(news, out),
             Event::Request { id, class, key, expires_in, work_hint, .. } => {
-                self.counts[class.0] += 1.0;
-                self.taken[class.0].push(now);
-                self.recent.push(now);
-                self.retry_tokens = (self.retry_tokens + RETRY_SHARE).min(RETRY_MOST);
+                self.flow.counts[class.0] += 1.0;
+                self.flow.taken[class.0].push(now);
+                self.flow.recent.push(now);
+                self.flow.retry_tokens = (self.flow.retry_tokens + RETRY_SHARE).min(RETRY_MOST);
                 let c = &self.set.classes[class.0];
                 let aim = now + c.aim + work_hint.unwrap_or_default() * c.aim_stretch;
                 self.send(id, Request::new(class, key, aim, now + expires_in), out);
             }
-            Event::ClientGone(id) => drop(self.requests.remove(&id)),
+            Event::ClientGone(id) => {
+                // What it waited for would only hold up the others; its attempt is always the last one sent.
+                if let Some(request) = self.requests.remove(&id).filter(|_| self.set.may_cancel) {
+                    out.push(Action::Cancel(id, request.tries - 1));
+                }
+            }
             Event::Completed { id, copy, node, verdict, latency, settled, .. } => {
                 self.completed(id, copy, (node, verdict, latency), settled, out);
             }
@@ -213,7 +205,7 @@
         }
         // Leave room for a second try where the class allows one.
         let split = Ms((class.aim.0 * 0.5).max(SLOW_MEANS * self.heard.mean.value));
-        let repeatable = class.effect != Effect::AtMostOnce && self.retry_tokens >= 1.0;
+        let repeatable = class.effect != Effect::AtMostOnce && self.flow.retry_tokens >= 1.0;
         if repeatable && request.tries == 0 && split.0 < class.aim.0 * 0.75 {
             until = until.min(self.now + split);
         }
@@ -232,7 +224,7 @@
         };
         if self.on_trial(build).is_some() {
             let classes = self.set.classes.len();
-            let lanes = self.exposed.entry(build).or_insert_with(|| vec![Times::default(); classes]);
+            let lanes = self.flow.exposed.entry(build).or_insert_with(|| vec![Times::default(); classes]);
             lanes[request.class.0].push(self.now);
         }
         if let Some(n) = self.nodes.get_mut(&node) {
@@ -283,14 +275,15 @@
         }
         let margin = self.set.tick * 2.0;
         let from = self.now - self.set.exposure_window;
-        let lanes = if self.set.exposure_per_class { class.0..class.0 + 1 } else { 0..self.taken.len() };
-        let taken: usize = self.taken[lanes.clone()].iter_mut().map(|l| l.trim(from + margin)).sum();
+        let lanes = if self.set.exposure_per_class { class.0..class.0 + 1 } else { 0..self.flow.taken.len() };
+        let taken: usize = self.flow.taken[lanes.clone()].iter_mut().map(|l| l.trim(from + margin)).sum();
         let bound = |cap: f64| self.set.allowance + cap * taken as f64 - 1.0;
-        let Some(sent) = self.exposed.get_mut(&build) else { return bound(cap) >= 0.0 };
+        let Some(sent) = self.flow.exposed.get_mut(&build) else { return bound(cap) >= 0.0 };
         let sent = &mut sent[lanes];
         let all: usize = sent.iter_mut().map(|l| l.trim(from - margin)).sum();
         // A lower cap counts attempts anew; until it binds for certain the old one counts all of them.
-        let Some((cut, old)) = self.cut.filter(|_| Some(build) == self.news.as_ref().map(|n| n.build)) else {
+        let Some((cut, old)) = self.flow.cut.filter(|_| Some(build) == self.news.as_ref().map(|n| n.build))
+        else {
             return all as f64 <= bound(cap);
         };
         let since: usize = sent.iter().map(|l| l.since(cut)).sum();
@@ -334,7 +327,8 @@
                 let node = &self.nodes[&id];
                 let far = f64::from(u8::from(self.set.zone != Some(node.entry.zone)));
                 let sound = 1.0 - (node.failing - self.heard.failing).max(0.0);
-                let in_time = -(-(request.aim - self.now).0.max(1.0) / predicted).exp_m1();
+                let time = predicted * (node.load + 1.0) / (self.heard.load + 1.0); // at one load for all
+                let in_time = -(-(request.aim - self.now).0.max(1.0) / time).exp_m1();
                 let cost = far * self.set.cross_zone_price - sound * in_time;
                 if best.as_ref().is_none_or(|b| cost < b.2) {
                     best = Some((id, predicted, cost));
@@ -376,7 +370,7 @@
     /// Keeps what picks need: servers in service by side (earlier builds, those on trial or sent back), near
     /// and all, and the warm capacity, in machines, of the newest build and of all.
     fn survey(&mut self) {
-        let span = self.recent.trim(self.now - RATE_SPAN) as f64 * (self.set.cold / RATE_SPAN);
+        let span = self.flow.recent.trim(self.now - RATE_SPAN) as f64 * (self.set.cold / RATE_SPAN);
         let seldom = span < 4.0 * self.nodes.len() as f64;
         self.sides = Default::default();
         self.warm = [0.0; 2];
@@ -421,7 +415,7 @@
         if warmth >= 1.0 {
             return true;
         }
-        let taken = self.recent.trim(self.now - RATE_SPAN) as f64 / RATE_SPAN.0;
+        let taken = self.flow.recent.trim(self.now - RATE_SPAN) as f64 / RATE_SPAN.0;
         let rate = taken / self.warm[1].max(1.0) * warmth * self.set.fall_multiple * 0.4;
         let (now, Some(node)) = (self.now, self.nodes.get_mut(id)) else { return false };
         node.tokens = (node.tokens + rate * (now - node.counted).0).min(1.0 + rate * 300.0);
@@ -432,6 +426,9 @@
     /// An attempt has ended: health, evidence, then the request's next step.
     fn completed(&mut self, id: RequestId, copy: u32, end: Ended, settled: bool, out: &mut Vec<Action>) {
         let (node, verdict, latency) = end;
+        // A client that left early tells of slowness only what a time-out there would.
+        let late = verdict == Verdict::Cancelled && latency.0 > self.bars.2 * self.heard.mean.value;
+        let verdict = if late { Verdict::Timeout } else { verdict };
         let Some(attempt) = self.attempts.remove(&(id.clone(), copy)) else { return };
         self.health(&node, attempt.crowd, verdict, latency);
         let Some(mut request) = self.requests.remove(&id) else {
@@ -467,7 +464,7 @@
             let moves = self.set.keys_stay && verdict == Verdict::Ok && self.is_newest(build);
             self.moved.extend(request.key.filter(|_| moves));
         } else if again {
-            self.retry_tokens -= 1.0;
+            self.flow.retry_tokens -= 1.0;
             self.send(id, request, out);
         } else {
             self.give_up(id, &request, out);
@@ -483,7 +480,7 @@
             (Effect::Deduplicated, Some((_, _, sent))) => self.now + self.set.tick < *sent + class.memory,
         };
         let left = request.aim.min(request.deadline) - self.now;
-        let paid = self.retry_tokens >= 1.0 && request.tries < self.set.try_limit;
+        let paid = self.flow.retry_tokens >= 1.0 && request.tries < self.set.try_limit;
         allowed && paid && left.0 > self.heard.mean.value
     }
 
@@ -510,6 +507,7 @@
             node.latency = Some(mean + weight(node.seen) * (latency.0.min(OUTLIER * mean) - mean));
             node.load += weight(node.seen) * (crowd - node.load); // with the latency it brought, never ahead
             node.seen = now;
+            self.heard.load += FRESH * 0.2 * (crowd - self.heard.load);
         }
         if unanswered {
             node.silent += 1;
@@ -535,7 +533,7 @@
 
     /// Weight of one outcome in a mean over about a second of our own traffic.
     fn pace(&mut self) -> f64 {
-        (RATE_SPAN.0 / 1000.0 / self.recent.trim(self.now - RATE_SPAN).max(1) as f64).clamp(0.01, 0.03)
+        (RATE_SPAN.0 / 1000.0 / self.flow.recent.trim(self.now - RATE_SPAN).max(1) as f64).clamp(0.01, 0.03)
     }
 
     /// A unit of evidence: errors and time-outs score 1 (page). Slowness shows only through time-outs, so an
@@ -615,7 +613,7 @@
         if self.trial.looks < LOOKS && outcomes >= self.bars.1 && self.now >= self.trial.next_look {
             self.trial.looks += 1;
             self.trial.next_look = self.now + BETWEEN;
-            let (delta, _, _, p) = adjusted_test(&self.trial.sums, &self.counts);
+            let (delta, _, _, p) = adjusted_test(&self.trial.sums, &self.flow.counts);
             if p < self.bars.0 / LOOKS as f64 && delta > LEAST_HARM {
                 self.condemn(news.build, "on trial", p, out);
             } else if p >= HOLD_P || delta <= LEAST_HARM {
@@ -626,7 +624,7 @@
         let newest = starts.filter_map(|n| n.entry.started).fold(self.trial.since, Ms::max);
         if self.now - newest >= CLOCK && !self.trial.clean {
             let held = *self.trial.held.get_or_insert(self.now);
-            let (_, _, _, p) = adjusted_test(&self.trial.sums, &self.counts);
+            let (_, _, _, p) = adjusted_test(&self.trial.sums, &self.flow.counts);
             self.trial.clean = p >= HOLD_P || self.now - held >= CLOCK;
         }
     }
@@ -641,7 +639,7 @@
     /// and wrong answers (not slowness, which load brings) are tested against the build before it. They must
     /// come from many of its machines: a few failing ones are a machine trouble.
     fn watch(&mut self, build: Build, out: &mut Vec<Action>) {
-        let (delta, _, _, p) = adjusted_test(&self.after, &self.counts);
+        let (delta, _, _, p) = adjusted_test(&self.after, &self.flow.counts);
         let outcomes: f64 = self.after.iter().map(|arms| arms[1].n).sum();
         let nodes = self.nodes.values().filter(|n| n.entry.build == build);
         let (all, bad, errors) = nodes
@@ -681,30 +679,30 @@
             (Phase::Trial, false, Control::Clocked) if held && !self.trial.clean => Vote::Hold,
             _ => return,
         };
-        if let Some(cast) = &self.cast {
+        if let Some(cast) = &self.calls.cast {
             let same = cast.what == (news.build, news.stage, vote);
             let life = if cast.answered { self.set.vote_life * 0.5 } else { self.set.answer_wait };
             if same && self.now < cast.at + life {
                 return;
             }
         }
-        if self.now < self.next_call {
+        if self.now < self.calls.next_call {
             return;
         }
         let gap = 2000.0 * f64::from(self.set.marshals) / self.set.calls_per_s.max(0.1);
-        self.next_call = self.now + Ms(gap).max(BEAT);
+        self.calls.next_call = self.now + Ms(gap).max(BEAT);
         let (build, stage) = (news.build, news.stage);
-        self.cast = Some(Cast { what: (build, stage, vote), at: self.now, answered: false });
+        self.calls.cast = Some(Cast { what: (build, stage, vote), at: self.now, answered: false });
         out.push(Action::Cast { build, stage, vote });
     }
 
     /// News of the newest build, or the answer to a vote.
     fn stage(&mut self, news: StageNews, out: &mut Vec<Action>) {
-        if let (true, Some(cast)) = (news.answers_vote, &mut self.cast) {
+        if let (true, Some(cast)) = (news.answers_vote, &mut self.calls.cast) {
             cast.answered = news.verdict == Verdict::Ok;
             if !cast.answered {
                 cast.at = Ms(f64::MIN); // unheard, or maybe so: again, but not into a platform that is full
-                self.next_call = self.next_call.max(self.now + PAUSE * 0.5);
+                self.calls.next_call = self.calls.next_call.max(self.now + PAUSE * 0.5);
             }
         }
         if news.verdict != Verdict::Ok {
@@ -716,12 +714,12 @@
         }
         if let Some((build, _, _, cap)) = before {
             if build == news.build && news.cap != cap {
-                self.cut = (news.cap < cap).then_some((self.now, cap)); // a raise counts all of the window
+                self.flow.cut = (news.cap < cap).then_some((self.now, cap)); // a raise counts all
             }
             if build < news.build {
-                (self.cut, self.step.dose, self.step.sums) = (None, 0.0, Sums::default());
+                (self.flow.cut, self.step.dose, self.step.sums) = (None, 0.0, Sums::default());
                 self.step.whole = self.warm[1];
-                self.exposed.retain(|&b, _| b >= news.build);
+                self.flow.exposed.retain(|&b, _| b >= news.build);
                 self.moved.clear();
                 // A build that was kept is what the next one is compared with.
                 let kept = !self.condemned.contains(&build);
@@ -753,18 +751,18 @@
 
     /// Discovery that must be asked: subscribes at the start, and again with back-off after a failure.
     fn ask(&mut self, out: &mut Vec<Action>) {
-        if self.set.ask_discovery && !self.subscribed && self.now >= self.next_ask {
-            self.next_ask = self.now + self.ask_pause;
-            self.ask_pause = (self.ask_pause * 2.0).min(self.set.ask_within * 0.4);
+        if self.set.ask_discovery && !self.calls.subscribed && self.now >= self.calls.next_ask {
+            self.calls.next_ask = self.now + self.calls.ask_pause;
+            self.calls.ask_pause = (self.calls.ask_pause * 2.0).min(self.set.ask_within * 0.4);
             out.push(Action::Subscribe);
         }
     }
 
     /// Follows the list. A node that drains or is gone gets nothing new from here on (rule 3).
     fn fleet(&mut self, form: FleetForm, entries: Vec<NodeEntry>) {
-        self.subscribed = matches!(form, FleetForm::Update | FleetForm::Replace);
-        if self.subscribed {
-            self.ask_pause = PAUSE;
+        self.calls.subscribed = matches!(form, FleetForm::Update | FleetForm::Replace);
+        if self.calls.subscribed {
+            self.calls.ask_pause = PAUSE;
         }
         if matches!(form, FleetForm::Replace | FleetForm::Restored) {
             let listed: BTreeSet<&NodeId> = entries.iter().map(|entry| &entry.node).collect();
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -1,7 +1,7 @@
 //! What a marshal holds of nodes, requests and trials: plain records, free of any decision.
 
 use crate::interface::*;
-use crate::moments::{Mean, Sums};
+use crate::moments::{Mean, Sums, Times};
 use std::collections::{BTreeMap, VecDeque};
 
 /// A server as this marshal knows it.
@@ -99,6 +99,8 @@
     pub unanswered: f64,
     pub failing: f64,
     pub cured: Mean,
+    /// Running mean of our requests in flight at a node as another was sent there.
+    pub load: f64,
 }
 
 /// Answer times against the dose of the newest build.
@@ -115,3 +117,35 @@
     /// Warm capacity as the build was offered.
     pub whole: f64,
 }
+
+/// What comes in and goes out.
+#[derive(Default)]
+pub(crate) struct Flow {
+    /// Requests taken and attempts at builds on trial within the window, by class.
+    pub taken: Vec<Times>,
+    pub exposed: BTreeMap<Build, Vec<Times>>,
+    /// When the cap was last lowered, and from what.
+    pub cut: Option<(Ms, f64)>,
+    /// Requests of late, and of each class since the start.
+    pub recent: Times,
+    pub counts: Vec<f64>,
+    pub retry_tokens: f64,
+}
+
+impl Flow {
+    /// Nothing yet.
+    pub fn new(classes: usize, retry_tokens: f64) -> Flow {
+        let taken = vec![Times::default(); classes];
+        Flow { taken, counts: vec![1.0; classes], retry_tokens, ..Flow::default() }
+    }
+}
+
+/// Calls to the platform and to discovery.
+#[derive(Default)]
+pub(crate) struct Calls {
+    pub cast: Option<Cast>,
+    pub next_call: Ms,
+    pub next_ask: Ms,
+    pub ask_pause: Ms,
+    pub subscribed: bool,
+}
--- a/crates/decision/tests/decisions/judging.rs
+++ b/crates/decision/tests/decisions/judging.rs
@@ -300,3 +300,21 @@
         assert!((least..=most).contains(&back), "{back} of 200 at one in {part}");
     }
 }
+
+/// Clients that leave early must neither hide a slow build nor make one of a good build.
+#[test]
+fn attempts_that_clients_left_count_only_where_a_time_out_would() {
+    for (slow, expected) in [(1000.0, true), (60.0, false)] {
+        let b = trial(
+            8.0,
+            |_, new, i| {
+                if new && i % 3 == 0 {
+                    (Verdict::Cancelled, slow)
+                } else {
+                    (Verdict::Ok, 40.0)
+                }
+            },
+        );
+        assert_eq!(b.cast(2, Vote::Back), expected, "left after {slow} ms");
+    }
+}
--- a/crates/decision/tests/decisions/rules.rs
+++ b/crates/decision/tests/decisions/rules.rs
@@ -389,3 +389,19 @@
         }
     }
 }
+
+/// Guards against work that nobody waits for: clients that leave before their time and ask again at once.
+#[test]
+fn the_attempt_of_a_client_that_left_is_cancelled_where_allowed() {
+    for allowed in [true, false] {
+        let mut b = Bench::new(Settings { may_cancel: allowed, ..settings() }, fleet(1, 3), 1);
+        let (id, out) = b.ask(0);
+        let first = sent(&out).unwrap();
+        let out = b.end(&id, 0, &first, Verdict::Error, 5.0);
+        let second = sent(&out).unwrap();
+        let left = b.give(Event::ClientGone(id.clone()));
+        assert_eq!(left, if allowed { vec![Action::Cancel(id.clone(), 1)] } else { vec![] });
+        assert!(b.end(&id, 1, &second, Verdict::Cancelled, 60.0).is_empty());
+        assert!(b.give(Event::ClientGone(id)).is_empty());
+    }
+}
