Where connections are refused everywhere, nodes that hold one of ours are asked first

A node is linked while its last attempt got through; the running share of unlinked attempts refused counts against unlinked nodes, and above the widespread share two linked ones join the choice.

--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -24,9 +24,8 @@
 const LEAST_HARM: f64 = 0.015;
 /// Clock after the newest start (page); the hold lasts as long again.
 const CLOCK: Ms = Ms(2500.0);
-/// Harm in step with the dose: level of answer times over the calm, fit (squared correlation; after a release
-/// above the 0.83 of shared slowness on good builds), spread of dose, for so many beats; fading; the part of
-/// the warm capacity below which nothing is judged.
+/// Harm in step: level of answer times over the calm, fit (squared correlation; after a release above the 0.83
+/// of shared slowness on good builds), spread of dose, beats, least part of the warm capacity, fading.
 const STEP_LEVEL: f64 = 1.8;
 const STEP_FIT: f64 = 0.7;
 const STEP_FIT_LATE: f64 = 0.88;
@@ -99,7 +98,7 @@
     stood: bool,
     nodes: BTreeMap<NodeId, Node>,
     /// What picks need of the list, by `survey`.
-    sides: [[Vec<NodeId>; 2]; 2],
+    sides: [[Vec<NodeId>; 3]; 2],
     warm: [f64; 2],
     requests: BTreeMap<RequestId, Request>,
     attempts: BTreeMap<(RequestId, u32), Attempt>,
@@ -171,9 +170,8 @@
             }
             Event::ClientGone(id) => {
                 // What it waited for would only hold up the others; its attempt is always the last one sent.
-                if let Some(request) = self.requests.remove(&id).filter(|_| self.set.may_cancel) {
-                    out.push(Action::Cancel(id, request.tries - 1));
-                }
+                let gone = self.requests.remove(&id).filter(|_| self.set.may_cancel);
+                out.extend(gone.map(|request| Action::Cancel(id, request.tries - 1)));
             }
             Event::Completed { id, copy, node, verdict, latency, settled, .. } => {
                 self.completed(id, copy, (node, verdict, latency), settled, out);
@@ -198,7 +196,7 @@
             return self.give_up(id, &request, out);
         }
         let mut until = request.deadline;
-        // Late earns little and holds up the others; but a client that may ask again then comes back with it.
+        // Late earns little and holds up others; but a client that may ask again then comes back with it.
         let keyed_apart = class.effect == Effect::Deduplicated && class.scope != Scope::All;
         if class.late_worth < 0.5 && (keyed_apart || class.effect == Effect::AtMostOnce) {
             until = until.min(request.aim);
@@ -316,17 +314,18 @@
 
     /// Two random choices nearby and two anywhere: the least chance of a late answer, at the expected time
     /// (by in-flight), or of failing beyond what fails everywhere, plus the price of crossing zones. Guards
-    /// against a zone that carries too much.
+    /// against a zone that carries too much. Two that hold a connection of ours, where few get a new one.
     fn two_choices(&mut self, request: &Request, side: usize, stays: bool) -> Option<(NodeId, f64)> {
         let mut best: Option<(NodeId, f64, f64)> = None;
-        for place in 0..2 {
+        for place in 0..if self.heard.barred < WIDESPREAD { 2 } else { 3 } {
             let pool = std::mem::take(&mut self.sides[side][place]);
             for _ in 0..2 {
                 let Some(id) = self.draw(&pool, request, stays) else { break };
                 let predicted = self.predicted(&id);
                 let node = &self.nodes[&id];
                 let far = f64::from(u8::from(self.set.zone != Some(node.entry.zone)));
-                let sound = 1.0 - (node.failing - self.heard.failing).max(0.0);
+                let open = if node.linked { 1.0 } else { 1.0 - self.heard.barred };
+                let sound = open - (node.failing - self.heard.failing).max(0.0);
                 let time = predicted * (node.load + 1.0) / (self.heard.load + 1.0); // at one load for all
                 let in_time = -(-(request.aim - self.now).0.max(1.0) / time).exp_m1();
                 let cost = far * self.set.cross_zone_price - sound * in_time;
@@ -378,10 +377,10 @@
             let build = node.entry.build;
             let back = self.condemned.contains(&build) && self.is_newest(build);
             let side = usize::from(back || self.on_trial(build).is_some());
-            if self.set.zone == Some(node.entry.zone) {
-                self.sides[side][0].push(id.clone());
-            }
+            let near = self.set.zone == Some(node.entry.zone);
+            self.sides[side][0].extend(near.then(|| id.clone()));
             self.sides[side][1].push(id.clone());
+            self.sides[side][2].extend(node.linked.then(|| id.clone()));
             let warmth = self.warmth(node);
             // A cold machine that sees few requests rarely has room just when it is drawn.
             let part = if warmth < 1.0 && seldom { warmth * 0.5 } else { warmth };
@@ -492,6 +491,9 @@
         if verdict == Verdict::Moot || verdict == Verdict::Cancelled {
             return;
         }
+        let barred = f64::from(u8::from(verdict == Verdict::ConnectFailed));
+        self.heard.barred += if node.linked { 0.0 } else { FRESH * (barred - self.heard.barred) };
+        node.linked = !matches!(verdict, Verdict::ConnectFailed | Verdict::Reset);
         let failed = f64::from(u8::from(verdict != Verdict::Ok));
         node.failing += FRESH * (failed - node.failing);
         self.heard.failing += FRESH * 0.2 * (failed - self.heard.failing);
@@ -531,7 +533,7 @@
         lane.iter().map(|&(_, score)| score).sum::<f64>() / (lane.len() as f64).max(1.0)
     }
 
-    /// Weight of one outcome in a mean over about a second of our own traffic.
+    /// Weight of one outcome in a mean over about a second of our traffic.
     fn pace(&mut self) -> f64 {
         (RATE_SPAN.0 / 1000.0 / self.flow.recent.trim(self.now - RATE_SPAN).max(1) as f64).clamp(0.01, 0.03)
     }
@@ -758,7 +760,7 @@
         }
     }
 
-    /// Follows the list. A node that drains or is gone gets nothing new from here on (rule 3).
+    /// Follows the list: a node that drains or is gone gets nothing new from here on (rule 3).
     fn fleet(&mut self, form: FleetForm, entries: Vec<NodeEntry>) {
         self.calls.subscribed = matches!(form, FleetForm::Update | FleetForm::Replace);
         if self.calls.subscribed {
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -21,6 +21,8 @@
     pub silent: u32,
     pub aside_until: Ms,
     pub pause: Ms,
+    /// Whether it holds a connection of ours, as far as the last attempt told.
+    pub linked: bool,
     /// Cold budget: tokens and when they were counted.
     pub tokens: f64,
     pub counted: Ms,
@@ -99,6 +101,8 @@
     pub unanswered: f64,
     pub failing: f64,
     pub cured: Mean,
+    /// Running share of attempts at nodes not linked that got no connection.
+    pub barred: f64,
     /// Running mean of our requests in flight at a node as another was sent there.
     pub load: f64,
 }
--- a/crates/decision/tests/decisions/rules.rs
+++ b/crates/decision/tests/decisions/rules.rs
@@ -405,3 +405,28 @@
         assert!(b.give(Event::ClientGone(id)).is_empty());
     }
 }
+
+/// Guards against knocking at every door: where few nodes take a new connection, those that hold one are asked.
+#[test]
+fn where_connections_are_refused_the_nodes_that_hold_one_are_asked() {
+    let mut b = Bench::new(settings(), fleet(1, 40), 1);
+    let takes = |to: &NodeId| ["n3", "n17", "n29"].contains(&&*to.0);
+    let tried = std::cell::Cell::new((0u32, 0u32));
+    for i in 0..400 {
+        b.pass(20.0);
+        b.serve(i % 3, |to| {
+            let (sent, refused) = tried.get();
+            let refuses = i >= 100 && !takes(to);
+            if i >= 200 {
+                tried.set((sent + 1, refused + u32::from(refuses)));
+            }
+            if refuses {
+                (Verdict::ConnectFailed, 1.0)
+            } else {
+                (Verdict::Ok, 40.0)
+            }
+        });
+    }
+    let (sent, refused) = tried.get();
+    assert!(refused * 4 < sent, "{refused} of {sent} got no connection");
+}
