--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -24,8 +24,8 @@
 const LEAST_HARM: f64 = 0.015;
 /// Clock after the newest start (page); the hold lasts as long again.
 const CLOCK: Ms = Ms(2500.0);
-/// Harm in step: level of answer times over the calm, fit (squared correlation; after a release above the 0.83
-/// of shared slowness on good builds), spread of dose, beats, least part of the warm capacity, fading.
+/// Harm in step: level of answer times over the calm, fit (squared correlation; after a release above the
+/// 0.83 of shared slowness on good builds), spread of dose, beats, least part of warm capacity, fading.
 const STEP_LEVEL: f64 = 1.8;
 const STEP_FIT: f64 = 0.7;
 const STEP_FIT_LATE: f64 = 0.88;
