--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -99,6 +99,7 @@
     /// What picks need of the list, by `survey`.
     sides: [[Vec<NodeId>; 3]; 2],
     warm: [f64; 2],
+    seldom: bool,
     requests: BTreeMap<RequestId, Request>,
     attempts: BTreeMap<(RequestId, u32), Attempt>,
     flow: Flow,
@@ -186,12 +187,13 @@
             return self.give_up(id, &request, out);
         };
         let class = &self.set.classes[request.class.0];
-        // Overload: an answer expected late earns next to nothing and delays the others. A node with nothing
-        // of ours is always tried: a bad memory can't shut it for good.
-        let idle = self.nodes[&node].inflight == 0;
+        // Overload: an answer expected late earns little and delays others. A node with nothing of ours is
+        // tried always, or, where it seldom sees us, ever less often: a bad memory can't shut it for good.
         let tightest = self.set.classes.iter().fold(class.aim, |aim, other| aim.min(other.aim));
         let patience = tightest.min(request.deadline - self.now) * PATIENCE;
-        if request.tries == 0 && !idle && predicted > patience.0 {
+        let over = predicted / patience.0.max(1.0);
+        let probe = if self.seldom { over.powi(-3) } else { 1.0 };
+        if request.tries == 0 && over > 1.0 && (self.nodes[&node].inflight > 0 || self.dice.part() > probe) {
             return self.give_up(id, &request, out);
         }
         let mut until = request.deadline;
@@ -369,7 +371,7 @@
     /// and all, and the warm capacity, in machines, of the newest build and of all.
     fn survey(&mut self) {
         let span = self.flow.recent.trim(self.now - RATE_SPAN) as f64 * (self.set.cold / RATE_SPAN);
-        let seldom = span < 4.0 * self.nodes.len() as f64;
+        self.seldom = span < 4.0 * self.nodes.len() as f64;
         self.sides = Default::default();
         self.warm = [0.0; 2];
         for (id, node) in self.nodes.iter().filter(|(_, n)| n.entry.state == NodeState::InService) {
@@ -381,8 +383,7 @@
             self.sides[side][1].push(id.clone());
             self.sides[side][2].extend(node.linked.then(|| id.clone()));
             let warmth = self.warmth(node);
-            // A cold machine that sees few requests rarely has room just when it is drawn.
-            let part = if warmth < 1.0 && seldom { warmth * 0.5 } else { warmth };
+            let part = if warmth < 1.0 && self.seldom { warmth * 0.5 } else { warmth }; // rarely has room
             self.warm[0] += if self.is_newest(build) { part } else { 0.0 };
             self.warm[1] += warmth;
         }
@@ -659,7 +660,7 @@
         self.step.sums.add(self.step.level.max(1e-3).ln(), self.step.dose);
         let (xx, yy, xy) = self.step.sums.centred();
         let fit = if xx > 1e-9 && yy > 1e-9 && xy > 0.0 { xy * xy / (xx * yy) } else { 0.0 };
-        // After the release a shared trouble is as likely and going back costs more: only a collapse counts.
+        // After the release going back costs more: only a collapse counts.
         let released = self.news.as_ref().is_some_and(|n| n.phase == Phase::Released);
         let collapse = !released || (self.step.missed >= 0.5 && fit >= STEP_FIT_LATE);
         // Milder signs from each, as for a look, where earlier machines stay and can't be what is missed.
@@ -684,14 +685,13 @@
         if let Some(cast) = &self.calls.cast {
             let same = cast.what == (news.build, news.stage, vote);
             let life = if cast.answered { self.set.vote_life * 0.5 } else { self.set.answer_wait };
-            if same && self.now < cast.at + life {
+            // A first vote back does not wait for its turn among the calls.
+            let waits = vote != Vote::Back || cast.what.2 == vote;
+            if (same && self.now < cast.at + life) || (waits && self.now < self.calls.next_call) {
                 return;
             }
         }
-        if self.now < self.calls.next_call {
-            return;
-        }
-        let gap = 2000.0 * f64::from(self.set.marshals) / self.set.calls_per_s.max(0.1);
+        let gap = 1000.0 * f64::from(self.set.marshals) / self.set.calls_per_s.max(0.1);
         self.calls.next_call = self.now + Ms(gap).max(BEAT);
         let (build, stage) = (news.build, news.stage);
         self.calls.cast = Some(Cast { what: (build, stage, vote), at: self.now, answered: false });
@@ -751,7 +751,7 @@
         self.vote(out);
     }
 
-    /// Discovery that must be asked: subscribes at the start, and again with back-off after a failure.
+    /// Discovery that must be asked: subscribes at the start, and again with back-off.
     fn ask(&mut self, out: &mut Vec<Action>) {
         if self.set.ask_discovery && !self.calls.subscribed && self.now >= self.calls.next_ask {
             self.calls.next_ask = self.now + self.calls.ask_pause;
--- a/crates/decision/tests/decisions/rules.rs
+++ b/crates/decision/tests/decisions/rules.rs
@@ -430,3 +430,27 @@
     let (sent, refused) = tried.get();
     assert!(refused * 4 < sent, "{refused} of {sent} got no connection");
 }
+
+/// Guards against overload by many: each of hundreds of marshals holds next to nothing at any node, and must
+/// refuse all the same; now and then it still tries, so that it learns when the jam is over.
+#[test]
+fn a_marshal_with_little_traffic_refuses_under_overload_and_finds_out_when_it_ends() {
+    let mut b = Bench::new(settings(), fleet(1, 40), 1);
+    let mut turn = |ms: f64| {
+        let mut refused = 0;
+        for i in 0..150 {
+            b.pass(200.0);
+            let (id, out) = b.ask(i % 3);
+            match sent(&out) {
+                Some(to) => drop(b.end(&id, 0, &to, Verdict::Ok, ms)),
+                None => refused += 1,
+            }
+        }
+        refused
+    };
+    assert_eq!(turn(40.0), 0);
+    let jammed = turn(600.0);
+    assert!((90..150).contains(&jammed), "{jammed}");
+    turn(40.0);
+    assert!(turn(40.0) < 15);
+}
