--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -59,6 +59,9 @@
 /// Span of our own rate, and the beat of votes and discovery.
 const RATE_SPAN: Ms = Ms(2000.0);
 const BEAT: Ms = Ms(100.0);
+/// What a machine bears, over the most it ever answered; least part of our requests that it is held to bear.
+const MORE: f64 = 1.25;
+const MET_PART: f64 = 0.25;
 
 /// The adjusted test (page; the paper's equations 4 and 7): each class holds the sums of the earlier build
 /// and of the build on trial. Gives the adjusted delta, its error, the statistic and the one-sided p.
@@ -387,6 +390,8 @@
             self.warm[0] += if self.is_newest(build) { part } else { 0.0 };
             self.warm[1] += warmth;
         }
+        let met = self.flow.met.trim(self.now - RATE_SPAN) as f64 / self.warm[1].max(1.0);
+        self.flow.best = self.flow.best.max(met);
     }
 
     /// Expected answer time: the node's mean, scaled by what is in flight now against then; the longer ago
@@ -407,15 +412,16 @@
         (self.set.cold_from + (1.0 - self.set.cold_from) * age).min(1.0)
     }
 
-    /// Rule 4: a cold node gets at most its share by warmth of our own requests, whatever the coin says. The
-    /// budget starts at a random part of a request: hundreds of whole ones would push it over in one burst.
+    /// Rule 4: a cold node gets its share by warmth of our requests, but not of what overload and worthless
+    /// ones add to the most ever answered; from a random part on, since hundreds of whole ones are a burst.
     fn cold_room(&mut self, id: &NodeId) -> bool {
         let warmth = self.warmth(&self.nodes[id]);
         if warmth >= 1.0 {
             return true;
         }
-        let taken = self.flow.recent.trim(self.now - RATE_SPAN) as f64 / RATE_SPAN.0;
-        let rate = taken / self.warm[1].max(1.0) * warmth * self.set.fall_multiple * 0.4;
+        let taken = self.flow.recent.trim(self.now - RATE_SPAN) as f64 / self.warm[1].max(1.0);
+        let borne = taken.min((self.flow.best * MORE).max(taken * MET_PART)) / RATE_SPAN.0;
+        let rate = borne * warmth * self.set.fall_multiple * 0.4;
         let (now, Some(node)) = (self.now, self.nodes.get_mut(id)) else { return false };
         node.tokens = (node.tokens + rate * (now - node.counted).0).min(1.0 + rate * 300.0);
         node.counted = now;
@@ -435,9 +441,8 @@
         };
         let (build, erred) = (attempt.build, verdict == Verdict::Error);
         let unrun = matches!(verdict, Verdict::Full | Verdict::ConnectFailed | Verdict::Moot);
-        // The attempt itself remembers its node's group: the node may have left the list by now.
         if !unrun && request.ran.is_none() {
-            request.ran = Some((attempt.home.0, attempt.home.1, attempt.sent));
+            request.ran = Some((attempt.home.0, attempt.home.1, attempt.sent)); // the list may have moved on
         }
         let doubted = request.erred.take();
         let cured = if self.heard.cured.n > 0.0 { self.heard.cured.value } else { 1.0 };
@@ -460,6 +465,7 @@
             self.score(&node, &attempt, verdict, latency);
         }
         if settled {
+            self.flow.met.push(self.now);
             let moves = self.set.keys_stay && verdict == Verdict::Ok && self.is_newest(build);
             self.moved.extend(request.key.filter(|_| moves));
         } else if again {
@@ -576,7 +582,10 @@
             }
             self.heard.earlier[attempt.class.0].push_back((self.now, score));
         }
-        self.trial.sums[attempt.class.0][usize::from(new)].add(score, attempt.covariate);
+        // Sent into a jam of the earlier build: what differs then is how crowded the few new machines are.
+        if attempt.covariate < WIDESPREAD {
+            self.trial.sums[attempt.class.0][usize::from(new)].add(score, attempt.covariate);
+        }
         let error = f64::from(u8::from(verdict == Verdict::Error));
         self.after[attempt.class.0][usize::from(newest)].add(error, 0.0);
         if let Some(node) = self.nodes.get_mut(id).filter(|_| error > 0.0) {
@@ -596,10 +605,8 @@
 
     /// The looks of a stage, and its clock (page).
     fn judge(&mut self, out: &mut Vec<Action>) {
-        let Some(news) = self.news.clone() else { return };
-        if self.condemned.contains(&news.build) {
-            return;
-        }
+        let open = |news: &StageNews| !self.condemned.contains(&news.build);
+        let Some(news) = self.news.clone().filter(open) else { return };
         if self.now >= self.next_watch {
             self.next_watch = self.now + BETWEEN;
             self.watch(news.build, out);
@@ -636,9 +643,8 @@
         out.push(Action::Log(format!("back: build {} {how}, p or fit {p:.4}", build.0)));
     }
 
-    /// After a release no earlier machine is left to compare with, and a build may turn bad late: its errors
-    /// and wrong answers (not slowness, which load brings) are tested against the build before it. They must
-    /// come from many of its machines: a few failing ones are a machine trouble.
+    /// A build may turn bad late, with no earlier machine left: its errors and wrong answers (not slowness)
+    /// are tested against the build before it, if from many machines: few are a machine trouble.
     fn watch(&mut self, build: Build, out: &mut Vec<Action>) {
         let (delta, _, _, p) = adjusted_test(&self.after, &self.flow.counts);
         let outcomes: f64 = self.after.iter().map(|arms| arms[1].n).sum();
@@ -651,16 +657,13 @@
         }
     }
 
-    /// Harm that slows every server leaves no difference between the builds. What remains is the dose: the
-    /// level of answer times over the calm before the build, regressed on the build's share of our attempts.
-    /// A shared trouble sets in whenever it likes; harm by the build rises with its share. Covers a slow
-    /// build that has spread, too; could harm where a shared trouble sets in just as a stage moves on.
+    /// Harm that slows every server leaves no difference, but rises with the dose: answer times regressed on
+    /// the build's share of our attempts. Could harm where a shared trouble sets in as a stage moves on.
     fn in_step(&mut self, build: Build, out: &mut Vec<Action>) {
         self.step.sums.fade(FADE);
         self.step.sums.add(self.step.level.max(1e-3).ln(), self.step.dose);
         let (xx, yy, xy) = self.step.sums.centred();
         let fit = if xx > 1e-9 && yy > 1e-9 && xy > 0.0 { xy * xy / (xx * yy) } else { 0.0 };
-        // After the release going back costs more: only a collapse counts.
         let released = self.news.as_ref().is_some_and(|n| n.phase == Phase::Released);
         let collapse = !released || (self.step.missed >= 0.5 && fit >= STEP_FIT_LATE);
         // Milder signs from each, as for a look, where earlier machines stay and can't be what is missed.
@@ -685,8 +688,7 @@
         if let Some(cast) = &self.calls.cast {
             let same = cast.what == (news.build, news.stage, vote);
             let life = if cast.answered { self.set.vote_life * 0.5 } else { self.set.answer_wait };
-            // A first vote back does not wait for its turn among the calls.
-            let waits = vote != Vote::Back || cast.what.2 == vote;
+            let waits = vote != Vote::Back || cast.what.2 == vote; // a first vote back takes no turn
             if (same && self.now < cast.at + life) || (waits && self.now < self.calls.next_call) {
                 return;
             }
@@ -763,9 +765,7 @@
     /// Follows the list: a node that drains or is gone gets nothing new from here on (rule 3).
     fn fleet(&mut self, form: FleetForm, entries: Vec<NodeEntry>) {
         self.calls.subscribed = matches!(form, FleetForm::Update | FleetForm::Replace);
-        if self.calls.subscribed {
-            self.calls.ask_pause = PAUSE;
-        }
+        self.calls.ask_pause = if self.calls.subscribed { PAUSE } else { self.calls.ask_pause };
         if matches!(form, FleetForm::Replace | FleetForm::Restored) {
             let listed: BTreeSet<&NodeId> = entries.iter().map(|entry| &entry.node).collect();
             self.nodes.retain(|id, _| listed.contains(id));
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -132,6 +132,9 @@
     pub cut: Option<(Ms, f64)>,
     /// Requests of late, and of each class since the start.
     pub recent: Times,
+    /// Answers of late, and the most at a warm machine so far.
+    pub met: Times,
+    pub best: f64,
     pub counts: Vec<f64>,
     pub retry_tokens: f64,
 }
--- a/crates/decision/tests/decisions/judging.rs
+++ b/crates/decision/tests/decisions/judging.rs
@@ -322,3 +322,12 @@
         assert_eq!(b.cast(2, Vote::Back), expected, "left after {slow} ms");
     }
 }
+
+/// Guards against votes that all marshals cast together in a surge: the earlier build jams, and the few new
+/// machines, crowded, jam more. What was sent into the jam tells nothing of the build.
+#[test]
+fn units_sent_into_a_jam_of_the_earlier_build_are_no_evidence() {
+    let b =
+        trial(8.0, |_, new, i| (Verdict::Ok, if i % 10 < if new { 8 } else { 4 } { 600.0 } else { 40.0 }));
+    assert!(!b.cast(2, Vote::Back));
+}
--- a/crates/decision/tests/decisions/rules.rs
+++ b/crates/decision/tests/decisions/rules.rs
@@ -130,6 +130,41 @@
     assert!(burst < 48, "{burst}");
 }
 
+/// Guards against a cold budget that grows with overload: what is asked beyond all that was ever answered.
+#[test]
+fn a_flood_of_requests_does_not_raise_what_a_cold_node_gets() {
+    for flood in [1, 6] {
+        let mut b = Bench::new(settings(), fleet(1, 5), 1);
+        for i in 0..400 {
+            b.pass(10.0);
+            b.serve(i % 3, |_| (Verdict::Ok, 40.0));
+        }
+        let cold = NodeEntry { started: Some(Ms(b.now)), ..node("cold", 1) };
+        b.give(Event::Fleet(FleetForm::Update, vec![cold]));
+        let mut sends = 0;
+        for i in 0..200 {
+            b.pass(10.0);
+            for n in 0..flood {
+                // What is beyond the first is worthless: any node answers it with an error.
+                let (id, mut out) = b.ask(i % 3);
+                let mut copy = 0;
+                while let Some(to) = sent(&out) {
+                    sends += u32::from(&*to.0 == "cold");
+                    let verdict = if n == 0 { Verdict::Ok } else { Verdict::Error };
+                    out = b.end(&id, copy, &to, verdict, 40.0);
+                    if n == 0 {
+                        break;
+                    }
+                    copy += 1;
+                }
+            }
+        }
+        // 100 answers a second over five machines, 1.25 times and 0.4 of the multiple, at a mean warmth of 0.55
+        // for two seconds: 33. Six times as many requests would bear six times that.
+        assert!(sends <= 40, "{sends} at {flood}");
+    }
+}
+
 #[test]
 fn discovery_that_must_be_asked_is_subscribed_and_renewed_with_back_off() {
     let mut b = Bench::new(Settings { ask_discovery: true, ..settings() }, fleet(1, 2), 1);
