--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -106,8 +106,8 @@
     requests: BTreeMap<RequestId, Request>,
     attempts: BTreeMap<(RequestId, u32), Attempt>,
     flow: Flow,
-    /// One-sided level of a vote back over all looks, outcomes that a look needs, and the bar of slowness.
-    bars: (f64, f64, f64),
+    /// One-sided level of a vote back over all looks, outcomes of a look, bar of slowness, least surplus.
+    bars: (f64, f64, f64, f64),
     heard: Heard,
     moved: BTreeSet<Key>,
     news: Option<StageNews>,
@@ -126,15 +126,15 @@
         let classes = set.classes.len();
         let sums: Vec<[Sums; 2]> = vec![Default::default(); classes];
         // Where many must vote a build back, as many as needed may err together no more often than one alone
-        // would; halved for what they share. The outcomes of a look and the bar of slowness go by the
-        // logarithm of that level: fewer and milder signs are enough for each.
+        // would; halved for what they share. By the logarithm of that level fewer and milder signs are
+        // enough for each, but of a larger surplus: a small one may well be a trouble that all share.
         let (all, back) = (u64::from(set.marshals.max(1)), u64::from(set.back_votes.max(1)));
         let err = |level: f64| Binomial::new(level, all).map_or(1.0, |law| law.sf(back - 1));
         let level = (1..50).map(|i| f64::from(i) * 0.01).take_while(|&level| err(level) <= LEVEL).last();
         let level_back = LEVEL.max(level.unwrap_or(0.0) * 0.5);
         let strict = level_back.ln() / LEVEL.ln();
         Marshal {
-            bars: (level_back, (LEAST * strict).ceil(), SLOW_MEANS * strict),
+            bars: (level_back, (LEAST * strict).ceil(), SLOW_MEANS * strict, LEAST_HARM / strict.powi(2)),
             dice: Dice::new(seed),
             flow: Flow::new(classes, RETRY_MOST),
             heard: Heard { earlier: vec![VecDeque::new(); classes], ..Heard::default() },
@@ -622,9 +622,9 @@
             self.trial.looks += 1;
             self.trial.next_look = self.now + BETWEEN;
             let (delta, _, _, p) = adjusted_test(&self.trial.sums, &self.flow.counts);
-            if p < self.bars.0 / LOOKS as f64 && delta > LEAST_HARM {
+            if p < self.bars.0 / LOOKS as f64 && delta > self.bars.3 {
                 self.condemn(news.build, "on trial", p, out);
-            } else if p >= HOLD_P || delta <= LEAST_HARM {
+            } else if p >= HOLD_P || delta <= self.bars.3 {
                 self.trial.clean = true;
             }
         }
@@ -651,7 +651,7 @@
         let nodes = self.nodes.values().filter(|n| n.entry.build == build);
         let (all, bad, errors) = nodes
             .fold((0, 0, 0), |(all, bad, sum), n| (all + 1, bad + u32::from(n.errors > 0), sum + n.errors));
-        let harm = delta > LEAST_HARM && p < self.bars.0 / LOOKS as f64;
+        let harm = delta > self.bars.3 && p < self.bars.0 / LOOKS as f64;
         if harm && outcomes >= self.bars.1 && 2 * bad >= errors.min(all) {
             self.condemn(build, "by its errors", p, out);
         }
--- a/crates/decision/tests/decisions/judging.rs
+++ b/crates/decision/tests/decisions/judging.rs
@@ -327,7 +327,9 @@
 /// machines, crowded, jam more. What was sent into the jam tells nothing of the build.
 #[test]
 fn units_sent_into_a_jam_of_the_earlier_build_are_no_evidence() {
-    let b =
-        trial(8.0, |_, new, i| (Verdict::Ok, if i % 10 < if new { 8 } else { 4 } { 600.0 } else { 40.0 }));
+    let b = trial(8.0, |_, new, i| {
+        let late = i % 10 < if new { 9 } else { 4 };
+        (if late { Verdict::Timeout } else { Verdict::Ok }, if late { 300.0 } else { 40.0 })
+    });
     assert!(!b.cast(2, Vote::Back));
 }
