--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -43,6 +43,7 @@
 /// A pick leaves the coin's build at over this many times (the other pick's plus one) in flight; not by
 /// speed, since a slow build must go on giving evidence.
 const SPILL: u32 = 2;
+const FAIL_COST: f64 = 5.0; // how much longer a node that always fails ranks
 const DRAWS: usize = 6; // of a server, before the list is walked
 /// Attempts in a row without an answer that set a node aside, the first such pause, and the share that goes
 /// unanswered everywhere above which none is set aside.
@@ -56,9 +57,8 @@
 const RETRY_MOST: f64 = 10.0;
 /// After this long a stage's news has settled: answer times are calm again.
 const SETTLED: Ms = Ms(10000.0);
-/// Span of our own rate, and the beat of votes and discovery.
-const RATE_SPAN: Ms = Ms(2000.0);
-const BEAT: Ms = Ms(100.0);
+const RATE_SPAN: Ms = Ms(2000.0); // of our own rate
+const BEAT: Ms = Ms(100.0); // of votes and discovery
 /// What a machine bears, over the most it ever answered; least part of our requests that it is held to bear.
 const MORE: f64 = 1.25;
 const MET_PART: f64 = 0.25;
@@ -121,7 +121,7 @@
 }
 
 impl Marshal {
-    /// Knows nothing yet.
+    /// New.
     pub fn new(set: Settings, seed: u64) -> Marshal {
         let classes = set.classes.len();
         let sums: Vec<[Sums; 2]> = vec![Default::default(); classes];
@@ -316,9 +316,9 @@
         }
     }
 
-    /// Two random choices nearby and two anywhere: the least chance of a late answer, at the expected time
-    /// (by in-flight), or of failing beyond what fails everywhere, plus the price of crossing zones. Guards
-    /// against a zone that carries too much. Two that hold a connection of ours, where few get a new one.
+    /// Two random choices nearby and two anywhere: the least chance of a late answer, at the expected time by
+    /// in-flight and failures, plus the price of crossing zones. Guards against a zone that carries too much.
+    /// Two that hold a connection of ours, where few get a new one.
     fn two_choices(&mut self, request: &Request, side: usize, stays: bool) -> Option<(NodeId, f64)> {
         let mut best: Option<(NodeId, f64, f64)> = None;
         for place in 0..if self.heard.barred < WIDESPREAD { 2 } else { 3 } {
@@ -329,10 +329,10 @@
                 let node = &self.nodes[&id];
                 let far = f64::from(u8::from(self.set.zone != Some(node.entry.zone)));
                 let open = if node.linked { 1.0 } else { 1.0 - self.heard.barred };
-                let sound = open - (node.failing - self.heard.failing).max(0.0);
-                let time = predicted * (node.load + 1.0) / (self.heard.load + 1.0); // at one load for all
+                let failing = 1.0 + FAIL_COST * (node.failing - self.heard.failing).max(0.0);
+                let time = failing * predicted * (node.load + 1.0) / (self.heard.load + 1.0); // at one load
                 let in_time = -(-(request.aim - self.now).0.max(1.0) / time).exp_m1();
-                let cost = far * self.set.cross_zone_price - sound * in_time;
+                let cost = far * self.set.cross_zone_price - open * in_time;
                 if best.as_ref().is_none_or(|b| cost < b.2) {
                     best = Some((id, predicted, cost));
                 }
