--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -46,10 +46,10 @@
 }
 
 /// A request, as the host names it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub Arc<str>);
 /// A server, as the host names it; the id survives restarts.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct NodeId(pub Arc<str>);
 /// What a request is about; requests with one key are related.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- /dev/null
+++ b/crates/marshal/src/book.rs
@@ -0,0 +1,92 @@
+//! The book: who is owed what. Each request gets exactly one answer, each attempt exactly one end.
+
+use crate::buffers::Buffer;
+use crate::intake::Client;
+use milletwing_decision::interface::RequestId;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed, Ordering::SeqCst};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// A request that was taken.
+pub struct Open {
+    /// Its id.
+    pub id: RequestId,
+    /// Who asked.
+    pub client: Arc<Client>,
+    /// What goes to a node: the head without its last lines, then the body.
+    pub message: Buffer,
+    /// Where the body begins in it.
+    pub body_at: usize,
+    /// When the client stops waiting.
+    pub deadline: Instant,
+    answered: AtomicBool,
+}
+
+impl Open {
+    /// A request that owes its answer.
+    pub fn new(
+        id: RequestId,
+        client: Arc<Client>,
+        message: Buffer,
+        body_at: usize,
+        deadline: Instant,
+    ) -> Open {
+        Open { id, client, message, body_at, deadline, answered: AtomicBool::new(false) }
+    }
+    /// Takes the right to answer; only the first to ask gets it. A client that left takes it too.
+    #[must_use]
+    pub fn claim(&self) -> bool {
+        !self.answered.swap(true, SeqCst)
+    }
+    /// Whether somebody has it.
+    pub fn answered(&self) -> bool {
+        self.answered.load(SeqCst)
+    }
+}
+
+/// What a marshal has counted since its start.
+#[derive(Default)]
+pub struct Book {
+    /// Requests taken.
+    pub taken: AtomicU64,
+    /// Served.
+    pub served: AtomicU64,
+    /// Refused.
+    pub refused: AtomicU64,
+    /// Failed.
+    pub failed: AtomicU64,
+    /// Clients that left before their answer.
+    pub gone: AtomicU64,
+    /// Attempts begun, and connections made for them.
+    pub attempts: AtomicU64,
+    /// Connections made to nodes.
+    pub connections: AtomicU64,
+    /// Messages answered as malformed.
+    pub malformed: AtomicU64,
+    /// What should not have happened: overdue answers, panics.
+    pub defects: AtomicU64,
+}
+
+/// Counts one.
+pub fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Relaxed);
+}
+
+impl std::fmt::Display for Book {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let of = |counter: &AtomicU64| counter.load(Relaxed);
+        write!(
+            f,
+            "taken {} served {} refused {} failed {} gone {} attempts {} connections {} malformed {} defects {}",
+            of(&self.taken),
+            of(&self.served),
+            of(&self.refused),
+            of(&self.failed),
+            of(&self.gone),
+            of(&self.attempts),
+            of(&self.connections),
+            of(&self.malformed),
+            of(&self.defects)
+        )
+    }
+}
--- /dev/null
+++ b/crates/marshal/src/intake.rs
@@ -0,0 +1,423 @@
+//! Intake: connections of clients, and the requests on them, one at a time. A connection's thread only reads;
+//! so it also sees its client leave while the request is out. Whoever has the answer writes it.
+
+use crate::admit::{admit, Gate};
+use crate::book::{count, Book, Open};
+use crate::buffers::{Buffer, Buffers};
+use crate::http::{self, Chunks, Framing, Malformed};
+use crate::limits::Limits;
+use crate::relay::{self, Word};
+use crate::route::Note;
+use crate::wire;
+use crossbeam_channel::Sender;
+use std::collections::HashMap;
+use std::io::{self, Read};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::ops::Range;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed, Ordering::SeqCst};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Bytes read at once.
+const CHUNK: usize = 4096;
+
+struct Standing {
+    /// A request on this connection owes its answer.
+    busy: bool,
+    /// Bytes of a further request have come.
+    begun: bool,
+    /// Nothing more is answered on it.
+    parted: bool,
+    /// Its request asked for the connection's end.
+    last: bool,
+    since: Instant,
+}
+
+/// A client's connection.
+pub struct Client {
+    stream: TcpStream,
+    standing: Mutex<Standing>,
+    free: Condvar,
+    stopping: Arc<AtomicBool>,
+}
+
+impl Client {
+    /// A connection that was accepted.
+    pub fn new(stream: TcpStream, stopping: Arc<AtomicBool>) -> Client {
+        let since = Instant::now();
+        let standing = Standing { busy: false, begun: false, parted: false, last: false, since };
+        Client { stream, standing: Mutex::new(standing), free: Condvar::new(), stopping }
+    }
+
+    fn standing(&self) -> MutexGuard<'_, Standing> {
+        self.standing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the connection outlives the answer that is due now.
+    pub fn keeps(&self) -> bool {
+        !self.stopping.load(SeqCst) && !self.standing().last
+    }
+
+    /// Writes an answer and is free for the next request, or ends sending.
+    pub fn answer(&self, parts: &[&[u8]], keep: bool) -> bool {
+        let written = relay::write_all(&self.stream, parts);
+        let mut standing = self.standing();
+        standing.busy = false;
+        standing.since = Instant::now();
+        let end = match &written {
+            Ok(()) if keep && !standing.parted => None,
+            Ok(()) => Some(Shutdown::Write),
+            Err(_) => Some(Shutdown::Both),
+        };
+        if let Some(how) = end {
+            standing.parted = true;
+            let _ = self.stream.shutdown(how); // it may be gone already
+        }
+        drop(standing);
+        self.free.notify_all();
+        written.is_ok()
+    }
+
+    /// Waits until the request before is answered, then marks the connection as busy. False where it ends.
+    fn begin(&self, keep: bool) -> bool {
+        let mut standing = self.standing();
+        while standing.busy && !standing.parted {
+            standing = self.free.wait(standing).unwrap_or_else(PoisonError::into_inner);
+        }
+        if standing.parted {
+            return false;
+        }
+        (standing.busy, standing.begun, standing.last) = (true, false, !keep);
+        true
+    }
+
+    /// Ends the connection if no request is on it; its client asks again elsewhere.
+    fn part(&self, how: Shutdown) -> bool {
+        let mut standing = self.standing();
+        let idle = !standing.busy && !standing.begun;
+        if idle && !standing.parted {
+            standing.parted = true;
+            let _ = self.stream.shutdown(how); // it may be gone already
+        }
+        idle
+    }
+
+    /// Since when it has stood idle.
+    fn idle_since(&self) -> Option<Instant> {
+        let standing = self.standing();
+        (!standing.busy && !standing.begun && !standing.parted).then_some(standing.since)
+    }
+
+    fn wait_at_most(&self, time: Duration) -> io::Result<()> {
+        self.stream.set_read_timeout(Some(time.max(Duration::from_millis(1))))
+    }
+}
+
+/// All connections of clients.
+#[derive(Default)]
+pub struct Clients {
+    open: Mutex<HashMap<u64, Arc<Client>>>,
+    next: AtomicU64,
+}
+
+impl Clients {
+    fn all(&self) -> MutexGuard<'_, HashMap<u64, Arc<Client>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+    /// How many.
+    pub fn len(&self) -> usize {
+        self.all().len()
+    }
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+    /// How many have a request that owes its answer, or one that is coming in.
+    pub fn busy(&self) -> usize {
+        self.all().values().filter(|client| client.idle_since().is_none()).count()
+    }
+    /// Ends the one that has stood idle for longest.
+    pub fn make_room(&self) -> bool {
+        let all = self.all();
+        let idle = all.values().filter_map(|client| Some((client.idle_since()?, client)));
+        idle.min_by_key(|(since, _)| *since).is_some_and(|(_, client)| client.part(Shutdown::Both))
+    }
+    /// Ends sending on all that stand idle.
+    pub fn part_idle(&self) {
+        for client in self.all().values() {
+            client.part(Shutdown::Write);
+        }
+    }
+}
+
+/// What the threads of intake share.
+pub struct Intake {
+    /// What admission needs.
+    pub gate: Gate,
+    /// The connections.
+    pub clients: Clients,
+    /// The way to the decision thread.
+    pub notes: Sender<Note>,
+    /// The counters.
+    pub book: Arc<Book>,
+    /// Whether we serve, for the front.
+    pub ready: AtomicBool,
+    /// Set by the sign to stop.
+    pub stopping: Arc<AtomicBool>,
+    /// Set when no new connection is wanted.
+    pub closed: AtomicBool,
+}
+
+/// Accepts until told otherwise. At the limit, and where no descriptor is left, idle connections give way.
+pub fn accept(intake: &Arc<Intake>, listener: &TcpListener) {
+    let limits = &intake.gate.limits;
+    loop {
+        while intake.clients.len() >= limits.clients && !intake.closed.load(SeqCst) {
+            if !intake.clients.make_room() {
+                std::thread::sleep(limits.accept_pause);
+            } else {
+                std::thread::yield_now();
+            }
+        }
+        let accepted = listener.accept();
+        if intake.closed.load(SeqCst) {
+            return;
+        }
+        match accepted {
+            Ok((stream, _)) => take(intake, stream),
+            Err(problem) => {
+                // Out of descriptors, or a connection that broke while it waited: neither ends the marshal.
+                log::warn!("accepting: {problem}");
+                intake.clients.make_room();
+                std::thread::sleep(limits.accept_pause);
+            }
+        }
+    }
+}
+
+fn take(intake: &Arc<Intake>, stream: TcpStream) {
+    let limits = &intake.gate.limits;
+    let set = stream.set_nodelay(true).and_then(|()| stream.set_write_timeout(Some(limits.client_write)));
+    if set.is_err() {
+        return; // it is gone already
+    }
+    let number = intake.clients.next.fetch_add(1, Relaxed);
+    let client = Arc::new(Client::new(stream, intake.stopping.clone()));
+    intake.clients.all().insert(number, client.clone());
+    let shared = intake.clone();
+    let thread = std::thread::Builder::new().name("client".into()).stack_size(limits.stack);
+    let spawned = thread.spawn(move || {
+        let mut open = None;
+        let end = catch_unwind(AssertUnwindSafe(|| read_requests(&shared, &client, &mut open)));
+        if end.is_err() {
+            count(&shared.book.defects);
+            log::error!("a thread of intake panicked");
+            if !client.standing().busy {
+                relay::word(&client, Word::Status(500), false);
+            }
+        }
+        // Whoever leaves with a request out has gone away, unless its answer is on its way already.
+        if let Some(open) = open.filter(|open: &Arc<Open>| !open.answered()) {
+            let _ = shared.notes.send(Note::Gone(open)); // it ends only with us
+        }
+        shared.clients.all().remove(&number);
+    });
+    if let Err(problem) = spawned {
+        log::warn!("no thread for a client: {problem}");
+        intake.clients.all().remove(&number);
+    }
+}
+
+/// Reads requests until the connection ends. `open` is the request taken last.
+fn read_requests(intake: &Intake, client: &Arc<Client>, open: &mut Option<Arc<Open>>) {
+    let limits = &intake.gate.limits;
+    let mut chunk = [0u8; CHUNK];
+    let mut coming: Option<Coming> = None;
+    let mut patience = Duration::ZERO;
+    loop {
+        // Whole requests first: more than one may have come together.
+        while let Some(part) = coming.as_mut() {
+            match part.whole(intake, client, open) {
+                Ok(Step::More) => break,
+                Ok(Step::Next) => {}
+                Ok(Step::End) => return,
+                Err(Malformed(status)) => {
+                    count(&intake.book.malformed);
+                    log::debug!("a malformed request, answered {status}");
+                    if client.begin(false) {
+                        relay::word(client, Word::Status(status), false);
+                        drain(client, limits, &mut chunk);
+                    }
+                    return;
+                }
+            }
+            if part.buffer.bytes().is_empty() {
+                coming = None; // the buffer returns to its pool: idle connections hold none
+            }
+        }
+        let wanted = match &coming {
+            Some(part) => limits.client_read.saturating_sub(part.began.elapsed()),
+            None => limits.client_idle,
+        };
+        if coming.is_some() || patience != wanted {
+            patience = wanted;
+            if client.wait_at_most(wanted).is_err() {
+                return;
+            }
+        }
+        match (&client.stream).read(&mut chunk) {
+            Ok(0) => return,
+            Ok(read) => {
+                let part = coming.get_or_insert_with(|| Coming::new(&intake.gate.buffers));
+                client.standing().begun = true;
+                if !part.buffer.put(&chunk[..read]) {
+                    if client.begin(false) {
+                        count(&intake.book.malformed);
+                        relay::word(client, Word::Status(413), false);
+                        drain(client, limits, &mut chunk);
+                    }
+                    return;
+                }
+            }
+            Err(problem) if problem.kind() == io::ErrorKind::Interrupted => {}
+            Err(problem) if matches!(problem.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                if coming.as_ref().is_some_and(|part| part.began.elapsed() >= limits.client_read) {
+                    if client.begin(false) {
+                        count(&intake.book.malformed);
+                        relay::word(client, Word::Status(408), false);
+                        drain(client, limits, &mut chunk);
+                    }
+                    return;
+                }
+                if coming.is_none() {
+                    // Only where no request is out; else the connection is not idle.
+                    if client.part(Shutdown::Write) {
+                        drain(client, limits, &mut chunk);
+                        return;
+                    }
+                }
+            }
+            Err(_) => return,
+        }
+    }
+}
+
+/// Reads what still comes after our last answer, so that it isn't cut off by a reset.
+fn drain(client: &Client, limits: &Limits, chunk: &mut [u8]) {
+    let until = Instant::now() + limits.linger;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() || client.wait_at_most(left).is_err() {
+            return;
+        }
+        match (&client.stream).read(chunk) {
+            Ok(read) if read > 0 => {}
+            _ => return,
+        }
+    }
+}
+
+/// What to do after a look at what has come.
+enum Step {
+    /// It needs more bytes.
+    More,
+    /// A request was taken; look again.
+    Next,
+    /// The connection ends.
+    End,
+}
+
+/// A request as it comes in.
+struct Coming {
+    buffer: Buffer,
+    began: Instant,
+    seen: usize,
+    chunks: Chunks,
+    told_to_go_on: bool,
+}
+
+impl Coming {
+    fn new(buffers: &Buffers) -> Coming {
+        Coming {
+            buffer: buffers.take(),
+            began: Instant::now(),
+            seen: 0,
+            chunks: Chunks::default(),
+            told_to_go_on: false,
+        }
+    }
+
+    /// Takes one request if it is there whole.
+    fn whole(
+        &mut self,
+        intake: &Intake,
+        client: &Arc<Client>,
+        open: &mut Option<Arc<Open>>,
+    ) -> Result<Step, Malformed> {
+        let limits = &intake.gate.limits;
+        let bytes = self.buffer.bytes();
+        if http::head_end(bytes, self.seen).is_none() {
+            self.seen = bytes.len();
+            return if bytes.len() > limits.head { Err(Malformed(431)) } else { Ok(Step::More) };
+        }
+        let Some(head) = http::request(bytes, limits)? else { return Ok(Step::More) };
+        let after = &bytes[head.length..];
+        let (parts, framed): (Vec<Range<usize>>, Option<usize>) = match head.framing {
+            Framing::Length(size) => {
+                (std::iter::once(0..size).collect(), (after.len() >= size).then_some(size))
+            }
+            _ => {
+                let framed = self.chunks.read(after, limits)?;
+                (self.chunks.parts.clone(), framed)
+            }
+        };
+        let Some(framed) = framed else {
+            let expects = head.get("Expect").is_some_and(|word| word.eq_ignore_ascii_case("100-continue"));
+            if expects && !self.told_to_go_on && client.idle_for_more() {
+                self.told_to_go_on = true;
+                let _ = relay::write_all(&client.stream, &[b"HTTP/1.1 100 Continue\r\n\r\n"]);
+                // or it won't
+            }
+            return Ok(Step::More);
+        };
+        let path = head.target.split('?').next().unwrap_or("");
+        if path == wire::READY {
+            let serves = intake.ready.load(SeqCst) && !intake.stopping.load(SeqCst);
+            if !client.begin(head.keep) {
+                return Ok(Step::End);
+            }
+            let status = if serves { 200 } else { 503 };
+            relay::word(client, Word::Status(status), true);
+        } else {
+            let body: Vec<&[u8]> = parts.iter().map(|part| &after[part.clone()]).collect();
+            let admitted = admit(&intake.gate, &head, &body, client, self.began)?;
+            if !client.begin(head.keep) {
+                return Ok(Step::End);
+            }
+            *open = Some(admitted.open.clone());
+            count(&intake.book.taken);
+            if let Err(back) = intake.notes.send(Note::Taken(Box::new(admitted))) {
+                // The decision thread has ended: nobody else would answer.
+                if let Note::Taken(admitted) = back.0 {
+                    if admitted.open.claim() {
+                        relay::word(client, Word::Failed, false);
+                    }
+                }
+            }
+        }
+        let used = head.length + framed;
+        self.buffer.cut(0..used);
+        (self.seen, self.chunks, self.told_to_go_on) = (0, Chunks::default(), false);
+        self.began = Instant::now();
+        Ok(Step::Next)
+    }
+}
+
+impl Client {
+    /// Whether nothing else is being written on the connection.
+    fn idle_for_more(&self) -> bool {
+        let standing = self.standing();
+        !standing.busy && !standing.parted
+    }
+}
--- /dev/null
+++ b/crates/marshal/src/limits.rs
@@ -0,0 +1,141 @@
+//! Every size, count and time of the marshal, filled once at start and handed down.
+
+use milletwing_profile::Transport;
+use std::time::Duration;
+
+/// The limits of one marshal.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Longest head of a message.
+    pub head: usize,
+    /// Longest body of a message.
+    pub body: usize,
+    /// Size of every buffer: a head, a body and what frames it.
+    pub buffer: usize,
+    /// Buffers kept for use again.
+    pub spare_buffers: usize,
+    /// Longest id of a request.
+    pub id: usize,
+    /// Longest line of the platform.
+    pub line: usize,
+    /// Connections of clients held at once.
+    pub clients: usize,
+    /// Connections to nodes held at once; also attempts out at once.
+    pub node_connections: usize,
+    /// Idle connections kept to one node.
+    pub idle_per_node: usize,
+    /// Threads for attempts that stand ready from the start.
+    pub first_workers: usize,
+    /// Threads that write answers that no node made.
+    pub relays: usize,
+    /// Notes that may wait for the decision thread.
+    pub notes: usize,
+    /// Votes that may wait for the platform's connection.
+    pub votes: usize,
+    /// Stack of a thread.
+    pub stack: usize,
+    /// Stack of the decision thread, which also holds the module.
+    pub route_stack: usize,
+    /// A connection that is not up by then never comes up.
+    pub connect: Duration,
+    /// A connection of a client on which no request begins for this long is closed.
+    pub client_idle: Duration,
+    /// From a request's first byte, time for all of it to come.
+    pub client_read: Duration,
+    /// An answer that a client doesn't take within this ends its connection.
+    pub client_write: Duration,
+    /// After an answer that closes, how long a client may take to close its side.
+    pub linger: Duration,
+    /// A request that doesn't leave within this ends the attempt's connection.
+    pub node_write: Duration,
+    /// An idle connection to a node is not used after this.
+    pub node_idle: Duration,
+    /// Longest time that a client may ask us to wait.
+    pub longest_wait: Duration,
+    /// After a client's deadline, the book fails what is still unanswered.
+    pub overdue: Duration,
+    /// How long one call to discovery may wait for news.
+    pub watch: Duration,
+    /// How long past that wait its answer may take.
+    pub watch_margin: Duration,
+    /// First and longest pause before asking discovery or the platform anew.
+    pub retry_first: Duration,
+    /// The longest such pause.
+    pub retry_longest: Duration,
+    /// Longest silence of the platform on a connection that asked to be told.
+    pub platform_silence: Duration,
+    /// After the sign to stop, how long new connections are taken.
+    pub accept_after_stop: Duration,
+    /// Longest time for finishing what is held after that.
+    pub finish: Duration,
+    /// Pause of accepting when no descriptor is left.
+    pub accept_pause: Duration,
+    /// Time between looks at what stands idle.
+    pub sweep: Duration,
+    /// Time between lines of counters in the log.
+    pub report: Duration,
+}
+
+/// What the platform grants a marshal.
+#[derive(Clone, Copy, Debug)]
+pub struct Grant {
+    /// Memory, in MiB.
+    pub memory_mb: u64,
+    /// Descriptors.
+    pub sockets: usize,
+}
+
+fn span(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms.max(0.0) / 1000.0)
+}
+
+impl Limits {
+    /// The limits under a grant and the settings.
+    pub fn new(grant: Grant, transport: &Transport) -> Limits {
+        // Files, the listener, discovery, the platform and connections that are being turned away.
+        let rest = 48.min(grant.sockets / 4);
+        let open = grant.sockets - rest;
+        // A request in the works takes a thread on either side and two buffers: at most about 160 KiB.
+        let by_memory = (grant.memory_mb as usize * 1024 / 2 / 160).max(16);
+        let node_connections = (open * 2 / 5).min(by_memory).max(2);
+        let clients = (open - open * 2 / 5).min(by_memory * 3 / 2).max(2);
+        let (head, body) = (16 << 10, 64 << 10);
+        Limits {
+            head,
+            body,
+            // Above the allocator's bar for pages of their own, so that only what is written takes memory.
+            buffer: (head + body + (60 << 10)).next_multiple_of(4 << 10),
+            spare_buffers: 64,
+            id: 128,
+            line: 8 << 10,
+            clients,
+            node_connections,
+            idle_per_node: node_connections,
+            first_workers: 16.min(node_connections),
+            relays: 2,
+            notes: 4096,
+            votes: 64,
+            stack: 96 << 10,
+            route_stack: 1 << 20,
+            connect: span(transport.connect_timeout.0),
+            client_idle: span(transport.keepalive.0 * 2.0),
+            client_read: Duration::from_secs(5),
+            client_write: Duration::from_secs(1),
+            linger: Duration::from_millis(300),
+            node_write: Duration::from_secs(1),
+            node_idle: span(transport.keepalive.0 * 0.8),
+            longest_wait: Duration::from_secs(300),
+            overdue: span(transport.grace.0 + 10.0),
+            watch: Duration::from_secs(2),
+            watch_margin: Duration::from_millis(500),
+            retry_first: Duration::from_millis(20),
+            retry_longest: Duration::from_secs(1),
+            platform_silence: Duration::from_millis(3200),
+            accept_after_stop: Duration::from_millis(600),
+            finish: Duration::from_secs(20),
+            accept_pause: Duration::from_millis(5),
+            sweep: Duration::from_secs(1),
+            report: Duration::from_secs(10),
+        }
+    }
+}
--- /dev/null
+++ b/crates/marshal/src/relay.rs
@@ -0,0 +1,96 @@
+//! The client's answer: a node's own, or one that the marshal words itself.
+
+use crate::book::Open;
+use crate::http::{reason, Head};
+use crate::intake::Client;
+use crate::wire;
+use crossbeam_channel::{bounded, Receiver, Sender};
+use milletwing_decision::interface::Ms;
+use std::io::{self, IoSlice, Write};
+use std::sync::Arc;
+
+/// An answer that no node made.
+#[derive(Clone, Copy, Debug)]
+pub enum Word {
+    /// Turned away, trying again is harmless; maybe with a time to come back.
+    Refused(Option<Ms>),
+    /// Failed, nothing promised.
+    Failed,
+    /// Answered by a status of its own.
+    Status(u16),
+}
+
+/// Writes all slices, one call where the kernel takes them.
+pub fn write_all(mut to: impl Write, parts: &[&[u8]]) -> io::Result<()> {
+    let mut slices: Vec<IoSlice<'_>> = parts.iter().map(|part| IoSlice::new(part)).collect();
+    let mut rest: &mut [IoSlice<'_>] = &mut slices;
+    IoSlice::advance_slices(&mut rest, 0); // empty parts
+    while !rest.is_empty() {
+        match to.write_vectored(rest) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(written) => IoSlice::advance_slices(&mut rest, written),
+            Err(problem) if problem.kind() == io::ErrorKind::Interrupted => {}
+            Err(problem) => return Err(problem),
+        }
+    }
+    Ok(())
+}
+
+/// Passes a node's answer on; the right to answer must have been claimed.
+pub fn served(open: &Open, head: &Head<'_>, body: &[&[u8]]) -> bool {
+    let size: usize = body.iter().map(|part| part.len()).sum();
+    let keep = open.client.keeps();
+    let mut text = Vec::with_capacity(256);
+    text.extend_from_slice(b"HTTP/1.1 200 OK\r\n");
+    for (name, value) in head.passed_on() {
+        text.extend_from_slice(name.as_bytes());
+        text.extend_from_slice(b": ");
+        text.extend_from_slice(value);
+        text.extend_from_slice(b"\r\n");
+    }
+    let close = if keep { "" } else { "Connection: close\r\n" };
+    text.extend_from_slice(format!("Content-Length: {size}\r\n{close}\r\n").as_bytes());
+    let mut parts = Vec::with_capacity(body.len() + 1);
+    parts.push(text.as_slice());
+    parts.extend_from_slice(body);
+    open.client.answer(&parts, keep)
+}
+
+/// Writes an answer that no node made.
+pub fn word(client: &Client, word: Word, keep: bool) -> bool {
+    let keep = keep && client.keeps();
+    let (status, extra) = match word {
+        Word::Refused(wait) => (503, wait.map(wire::retry_after).unwrap_or_default()),
+        Word::Failed => (502, String::new()),
+        Word::Status(status) => (status, String::new()),
+    };
+    let close = if keep { "" } else { "Connection: close\r\n" };
+    let text = format!("HTTP/1.1 {status} {}\r\n{extra}{close}Content-Length: 0\r\n\r\n", reason(status));
+    client.answer(&[text.as_bytes()], keep)
+}
+
+/// Threads that write the answers which the decision thread words; that thread must not wait on a socket.
+pub struct Relays {
+    send: Sender<(Arc<Open>, Word)>,
+    /// Where the threads take their work.
+    pub work: Receiver<(Arc<Open>, Word)>,
+}
+
+impl Relays {
+    /// A queue that holds as many answers as clients can wait for.
+    pub fn new(clients: usize) -> Relays {
+        let (send, work) = bounded(clients * 2);
+        Relays { send, work }
+    }
+    /// Hands one over; the right to answer must have been claimed. False where the queue is full.
+    pub fn hand(&self, open: Arc<Open>, word: Word) -> bool {
+        self.send.try_send((open, word)).is_ok()
+    }
+}
+
+/// The work of one such thread.
+pub fn run(work: &Receiver<(Arc<Open>, Word)>) {
+    while let Ok((open, answer)) = work.recv() {
+        word(&open.client, answer, true);
+    }
+}
--- /dev/null
+++ b/crates/marshal/src/send.rs
@@ -0,0 +1,420 @@
+//! Sending: one attempt at a node, written and read by a worker on a connection from the node's pool. Whether
+//! an attempt may have run is known by whether its last byte was written; nothing is sent again from here.
+
+use crate::book::{count, Book, Open};
+use crate::buffers::{Buffer, Buffers};
+use crate::http::{self, Chunks, Framing};
+use crate::limits::Limits;
+use crate::relay;
+use crate::route::Note;
+use crate::wire;
+use crossbeam_channel::{bounded, Receiver, Sender};
+use milletwing_decision::interface::{NodeId, Verdict};
+use std::io::{self, Read};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::time::{Duration, Instant};
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A connection to a node, counted as long as it lives.
+pub struct Link {
+    stream: TcpStream,
+    open: Arc<AtomicUsize>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, SeqCst);
+    }
+}
+
+/// A node's address and the idle connections to it, the latest used last.
+pub struct Node {
+    /// Its id.
+    pub id: NodeId,
+    /// Its address.
+    pub addr: SocketAddr,
+    idle: Mutex<Vec<(Arc<Link>, Instant)>>,
+    leaving: AtomicBool,
+}
+
+impl Node {
+    /// A node that was listed.
+    pub fn new(id: NodeId, addr: SocketAddr) -> Node {
+        Node { id, addr, idle: Mutex::default(), leaving: AtomicBool::new(false) }
+    }
+    /// From here on nothing is sent there; what is being connected is dropped.
+    pub fn leave(&self) {
+        self.leaving.store(true, SeqCst);
+        locked(&self.idle).clear();
+    }
+    /// Drops connections that have stood idle for too long.
+    pub fn sweep(&self, longest: Duration) {
+        locked(&self.idle).retain(|(_, since)| since.elapsed() < longest);
+    }
+    /// Idle connections.
+    pub fn idle(&self) -> usize {
+        locked(&self.idle).len()
+    }
+}
+
+enum Slot {
+    /// Not written yet.
+    Waiting,
+    /// On its way.
+    Out(Arc<Link>),
+    /// Given up by the module.
+    Cancelled,
+    /// It has its end.
+    Ended,
+}
+
+/// One attempt.
+pub struct Attempt {
+    /// Its request.
+    pub open: Arc<Open>,
+    /// Its number.
+    pub copy: u32,
+    /// Its node.
+    pub node: Arc<Node>,
+    /// When the module sent it.
+    pub sent: Instant,
+    /// When it times out.
+    pub until: Instant,
+    slot: Mutex<Slot>,
+    written: AtomicBool,
+}
+
+impl Attempt {
+    /// One that the module wants.
+    pub fn new(open: Arc<Open>, copy: u32, node: Arc<Node>, sent: Instant, until: Instant) -> Attempt {
+        let (slot, written) = (Mutex::new(Slot::Waiting), AtomicBool::new(false));
+        Attempt { open, copy, node, sent, until, slot, written }
+    }
+
+    /// Stops waiting. What isn't written yet never will be: its connection can't send any more.
+    pub fn cancel(&self) {
+        let mut slot = locked(&self.slot);
+        match &*slot {
+            Slot::Ended => return,
+            Slot::Out(link) => {
+                let _ = link.stream.shutdown(Shutdown::Both); // it may have ended by itself
+            }
+            Slot::Waiting | Slot::Cancelled => {}
+        }
+        *slot = Slot::Cancelled;
+    }
+
+    fn cancelled(&self) -> bool {
+        matches!(*locked(&self.slot), Slot::Cancelled)
+    }
+
+    /// Binds the attempt to its connection, unless it was given up.
+    fn bind(&self, link: &Arc<Link>) -> bool {
+        let mut slot = locked(&self.slot);
+        if matches!(*slot, Slot::Cancelled) {
+            return false;
+        }
+        *slot = Slot::Out(link.clone());
+        true
+    }
+
+    /// The connection is free again; false where it was shut by `cancel`.
+    fn release(&self) -> bool {
+        let mut slot = locked(&self.slot);
+        let free = !matches!(*slot, Slot::Cancelled);
+        if free {
+            *slot = Slot::Ended;
+        }
+        free
+    }
+}
+
+/// What the workers share.
+pub struct Senders {
+    /// The limits.
+    pub limits: Limits,
+    /// The pool.
+    pub buffers: Buffers,
+    /// The counters.
+    pub book: Arc<Book>,
+    /// The way back to the decision thread.
+    pub notes: Sender<Note>,
+    jobs: (Sender<Arc<Attempt>>, Receiver<Arc<Attempt>>),
+    open: Arc<AtomicUsize>,
+    workers: AtomicUsize,
+    /// Attempts that a worker has, or that wait for one.
+    load: AtomicUsize,
+    nodes: Mutex<Vec<Weak<Node>>>,
+}
+
+impl Senders {
+    /// No worker yet.
+    pub fn new(limits: &Limits, buffers: &Buffers, book: &Arc<Book>, notes: Sender<Note>) -> Senders {
+        Senders {
+            limits: limits.clone(),
+            buffers: buffers.clone(),
+            book: book.clone(),
+            notes,
+            jobs: bounded(limits.node_connections),
+            open: Arc::default(),
+            workers: AtomicUsize::new(0),
+            load: AtomicUsize::new(0),
+            nodes: Mutex::default(),
+        }
+    }
+
+    /// Makes a node's idle connections known to those who need room.
+    pub fn list(&self, node: &Arc<Node>) {
+        let mut nodes = locked(&self.nodes);
+        nodes.retain(|node| node.strong_count() > 0);
+        nodes.push(Arc::downgrade(node));
+    }
+
+    /// Connections to nodes, and threads.
+    pub fn size(&self) -> (usize, usize) {
+        (self.open.load(SeqCst), self.workers.load(SeqCst))
+    }
+
+    /// Starts one more worker.
+    pub fn hire(self: &Arc<Self>) -> io::Result<()> {
+        let shared = self.clone();
+        self.workers.fetch_add(1, SeqCst);
+        let thread = std::thread::Builder::new().name("send".into()).stack_size(self.limits.stack);
+        let spawned = thread.spawn(move || {
+            while let Ok(attempt) = shared.jobs.1.recv() {
+                shared.work(&attempt);
+                shared.load.fetch_sub(1, SeqCst);
+            }
+        });
+        spawned.map(drop).inspect_err(|_| {
+            self.workers.fetch_sub(1, SeqCst);
+        })
+    }
+
+    /// Hands an attempt to a worker; false where all are at work and no more are allowed.
+    pub fn hand(self: &Arc<Self>, attempt: Arc<Attempt>) -> bool {
+        let workers = self.workers.load(SeqCst);
+        if self.load.load(SeqCst) >= workers && workers < self.limits.node_connections {
+            if let Err(problem) = self.hire() {
+                log::warn!("no thread for an attempt: {problem}");
+            }
+        }
+        self.load.fetch_add(1, SeqCst);
+        let handed = self.jobs.0.try_send(attempt).is_ok();
+        if !handed {
+            self.load.fetch_sub(1, SeqCst);
+        }
+        handed
+    }
+
+    /// One attempt from beginning to end; it always gets its end, whatever happens in between.
+    fn work(&self, attempt: &Arc<Attempt>) {
+        let done = catch_unwind(AssertUnwindSafe(|| self.exchange(attempt)));
+        let verdict = done.unwrap_or_else(|_| {
+            count(&self.book.defects);
+            log::error!("a thread of sending panicked");
+            let written = attempt.written.load(SeqCst);
+            if written {
+                Verdict::Reset
+            } else {
+                Verdict::ConnectFailed
+            }
+        });
+        attempt.release();
+        let note = Note::Ended { attempt: attempt.clone(), verdict, at: Instant::now() };
+        let _ = self.notes.send(note); // it ends only with us
+    }
+
+    fn exchange(&self, attempt: &Arc<Attempt>) -> Verdict {
+        if attempt.cancelled() {
+            return Verdict::Cancelled;
+        }
+        let left = attempt.until.saturating_duration_since(Instant::now());
+        if left.is_zero() || attempt.node.leaving.load(SeqCst) {
+            return Verdict::Moot;
+        }
+        let link = match self.idle(&attempt.node) {
+            Some(link) => link,
+            None => match self.connect(&attempt.node, left) {
+                Ok(link) => link,
+                Err(verdict) if attempt.cancelled() => {
+                    log::debug!("cancelled while connecting, which ended as {verdict:?}");
+                    return Verdict::Cancelled;
+                }
+                Err(verdict) => return verdict,
+            },
+        };
+        // The list may have changed, and the module its mind, while the connection came up.
+        if attempt.node.leaving.load(SeqCst) {
+            return Verdict::Moot;
+        }
+        if !attempt.bind(&link) {
+            self.put_back(&attempt.node, link);
+            return Verdict::Cancelled;
+        }
+        let left = attempt.until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            self.put_back(&attempt.node, link);
+            return Verdict::ConnectFailed;
+        }
+        let message = attempt.open.message.bytes();
+        let (head, body) = message.split_at(attempt.open.body_at);
+        let line = wire::remaining_line(left);
+        if relay::write_all(&link.stream, &[head, line.as_bytes(), b"\r\n", body]).is_err() {
+            return if attempt.cancelled() { Verdict::Cancelled } else { Verdict::ConnectFailed };
+        }
+        attempt.written.store(true, SeqCst);
+        let mut buffer = self.buffers.take();
+        match self.read(attempt, &link, &mut buffer) {
+            Ok((verdict, keep)) => {
+                if keep && attempt.release() {
+                    self.put_back(&attempt.node, link);
+                }
+                verdict
+            }
+            Err(_) if attempt.cancelled() => Verdict::Cancelled,
+            Err(verdict) => verdict,
+        }
+    }
+
+    /// Reads the answer and passes it on if it is the first.
+    fn read(&self, attempt: &Attempt, link: &Link, buffer: &mut Buffer) -> Result<(Verdict, bool), Verdict> {
+        let limits = &self.limits;
+        let mut chunks = Chunks::default();
+        let mut closed = false;
+        loop {
+            // The head is read anew with each piece: answers are short and come in one.
+            let bytes = buffer.bytes();
+            let whole = match http::answer(bytes, limits) {
+                Err(_) => return Err(Verdict::Reset),
+                Ok(None) => None,
+                Ok(Some(head)) if head.status < 200 => {
+                    let length = head.length;
+                    buffer.cut(0..length); // an interim answer; the real one follows
+                    continue;
+                }
+                Ok(Some(head)) => {
+                    let after = &bytes[head.length..];
+                    let (parts, whole, rest) = match head.framing {
+                        Framing::Length(size) => {
+                            let whole = after.len() >= size;
+                            (std::iter::once(0..size).collect(), whole, after.len() > size)
+                        }
+                        Framing::UntilClose if after.len() > limits.body => return Err(Verdict::Reset),
+                        Framing::UntilClose => (std::iter::once(0..after.len()).collect(), closed, false),
+                        Framing::Chunked => {
+                            let framed = chunks.read(after, limits).map_err(|_| Verdict::Reset)?;
+                            let rest = framed.is_some_and(|framed| after.len() > framed);
+                            (chunks.parts.clone(), framed.is_some(), rest)
+                        }
+                    };
+                    whole.then_some((head, parts, rest))
+                }
+            };
+            if let Some((head, parts, rest)) = whole {
+                let after = &bytes[head.length..];
+                let turned = head.get(wire::TURNED_AWAY) == Some("1");
+                let verdict = match head.status {
+                    200 => Verdict::Ok,
+                    503 | 504 if turned => Verdict::Full,
+                    _ => Verdict::Error,
+                };
+                if verdict == Verdict::Ok && attempt.open.claim() {
+                    let body: Vec<&[u8]> = parts.iter().map(|part| &after[part.clone()]).collect();
+                    let written = relay::served(&attempt.open, &head, &body);
+                    count(if written { &self.book.served } else { &self.book.gone });
+                }
+                return Ok((verdict, head.keep && !rest));
+            }
+            if closed {
+                return Err(Verdict::Reset);
+            }
+            let left = attempt.until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(Verdict::Timeout);
+            }
+            link.stream.set_read_timeout(Some(left)).map_err(|_| Verdict::Reset)?;
+            let room = buffer.room();
+            if room.is_empty() {
+                return Err(Verdict::Reset); // longer than an answer may be
+            }
+            match (&link.stream).read(room) {
+                Ok(0) => closed = true,
+                Ok(read) => buffer.grow(read),
+                Err(problem) if problem.kind() == io::ErrorKind::Interrupted => {}
+                Err(problem)
+                    if matches!(problem.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) =>
+                {
+                    return Err(Verdict::Timeout)
+                }
+                Err(_) => return Err(Verdict::Reset),
+            }
+        }
+    }
+
+    /// An idle connection that is still open, the latest used first.
+    fn idle(&self, node: &Node) -> Option<Arc<Link>> {
+        loop {
+            let (link, since) = locked(&node.idle).pop()?;
+            if since.elapsed() >= self.limits.node_idle {
+                locked(&node.idle).clear(); // the others are older still
+                return None;
+            }
+            // Guards against writing to one that the node has closed: that would end as a reset.
+            let quiet = link.stream.set_nonblocking(true).is_ok()
+                && matches!(link.stream.peek(&mut [0]), Err(problem) if problem.kind() == io::ErrorKind::WouldBlock);
+            if quiet && link.stream.set_nonblocking(false).is_ok() {
+                return Some(link);
+            }
+        }
+    }
+
+    fn put_back(&self, node: &Node, link: Arc<Link>) {
+        let mut idle = locked(&node.idle);
+        if !node.leaving.load(SeqCst) && idle.len() < self.limits.idle_per_node {
+            idle.push((link, Instant::now()));
+        }
+    }
+
+    /// A new connection; at the limit, the one that has stood idle for longest gives way.
+    fn connect(&self, node: &Node, left: Duration) -> Result<Arc<Link>, Verdict> {
+        if self.open.fetch_add(1, SeqCst) >= self.limits.node_connections {
+            self.make_room();
+        }
+        let open = self.open.clone();
+        let made = TcpStream::connect_timeout(&node.addr, left.min(self.limits.connect));
+        let stream = match made {
+            Ok(stream) => stream,
+            Err(problem) => {
+                open.fetch_sub(1, SeqCst);
+                log::debug!("connecting to {}: {problem}", node.addr);
+                let ours = matches!(problem.raw_os_error(), Some(23 | 24 | 99)); // no descriptor, no port
+                return Err(if ours { Verdict::Moot } else { Verdict::ConnectFailed });
+            }
+        };
+        let link = Link { stream, open };
+        let set = link.stream.set_nodelay(true);
+        if set.and_then(|()| link.stream.set_write_timeout(Some(self.limits.node_write))).is_err() {
+            return Err(Verdict::ConnectFailed);
+        }
+        count(&self.book.connections);
+        Ok(Arc::new(link))
+    }
+
+    fn make_room(&self) {
+        let nodes: Vec<Arc<Node>> = locked(&self.nodes).iter().filter_map(Weak::upgrade).collect();
+        let oldest = nodes.iter().filter_map(|node| Some((locked(&node.idle).first()?.1, node)));
+        if let Some((_, node)) = oldest.min_by_key(|(since, _)| *since) {
+            let mut idle = locked(&node.idle);
+            if !idle.is_empty() {
+                idle.remove(0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/marshal/src/server.rs
@@ -0,0 +1,156 @@
+//! The whole marshal: its threads, its start and its end.
+
+use crate::admit::Gate;
+use crate::book::Book;
+use crate::buffers::Buffers;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::discovery::{self, Ask, Caller, Watch};
+use crate::intake::{self, Clients, Intake};
+use crate::limits::Limits;
+use crate::platform::Platform;
+use crate::relay::{self, Relays};
+use crate::route::{Note, Route, Tools};
+use crate::send::Senders;
+use crossbeam_channel::{bounded, Sender};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A marshal that runs.
+pub struct Server {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    intake: Arc<Intake>,
+    platform: Arc<Platform>,
+    notes: Sender<Note>,
+    limits: Limits,
+    /// Kept so that discovery's thread ends with the marshal.
+    _asks: Sender<Ask>,
+}
+
+fn start(name: &str, stack: usize, work: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    std::thread::Builder::new().name(name.into()).stack_size(stack).spawn(work).map(drop)
+}
+
+impl Server {
+    /// Starts a marshal under the limits that its grant and settings give.
+    pub fn start(config: Config) -> io::Result<Server> {
+        let limits = Limits::new(config.grant, &config.transport);
+        Server::start_with(config, limits)
+    }
+
+    /// Starts a marshal under limits of the caller's own.
+    pub fn start_with(config: Config, limits: Limits) -> io::Result<Server> {
+        let listener = TcpListener::bind(config.listen)?;
+        let listen = listener.local_addr()?;
+        let buffers = Buffers::new(limits.buffer, limits.spare_buffers);
+        let book = Arc::new(Book::default());
+        let (notes, inbox) = bounded(limits.notes);
+        let (ballots, votes) = bounded(limits.votes);
+        let (asks, asked) = bounded(limits.votes);
+        let stopping = Arc::new(AtomicBool::new(false));
+
+        let senders = Arc::new(Senders::new(&limits, &buffers, &book, notes.clone()));
+        for _ in 0..limits.first_workers {
+            senders.hire()?;
+        }
+        let relays = Relays::new(limits.clients);
+        for _ in 0..limits.relays {
+            let work = relays.work.clone();
+            start("relay", limits.stack, move || relay::run(&work))?;
+        }
+
+        let mut names = config.names.clone();
+        let known = discovery::entries(&config.known, &mut names);
+        let tools = Tools {
+            settings: config.settings.clone(),
+            seed: config.seed,
+            limits: limits.clone(),
+            clock: Clock::default(),
+            book: book.clone(),
+            senders,
+            relays,
+            ballots,
+            asks: asks.clone(),
+        };
+        let (sign, began) = bounded(1);
+        let news = config.news.clone();
+        start("route", limits.route_stack, move || {
+            let route = Route::new(tools, known, news);
+            let _ = sign.send(()); // the starter waits for it
+            route.run(&inbox);
+        })?;
+        let _ = began.recv(); // the module holds the list and the news before any request
+
+        let platform = Arc::new(Platform::new(config.platform, &limits, &config.names, notes.clone()));
+        let (reader, writer) = (platform.clone(), platform.clone());
+        start("platform-read", limits.stack, move || reader.read())?;
+        start("platform-write", limits.stack, move || writer.write(&votes))?;
+        let watch = Watch {
+            caller: Caller::new(config.discovery, &limits, &buffers),
+            names,
+            version: config.known.version,
+            asked: config.settings.ask_discovery,
+        };
+        let told = notes.clone();
+        start("discovery", limits.stack, move || watch.run(&asked, &told))?;
+
+        let gate = Gate { settings: config.settings, names: config.names, limits: limits.clone(), buffers };
+        let intake = Arc::new(Intake {
+            gate,
+            clients: Clients::default(),
+            notes: notes.clone(),
+            book,
+            ready: AtomicBool::new(true),
+            stopping,
+            closed: AtomicBool::new(false),
+        });
+        let shared = intake.clone();
+        start("accept", limits.stack, move || intake::accept(&shared, &listener))?;
+        log::info!("{} listens at {listen}", config.name);
+        Ok(Server { listen, intake, platform, notes, limits, _asks: asks })
+    }
+
+    /// The counters.
+    pub fn book(&self) -> &Book {
+        &self.intake.book
+    }
+
+    /// Ends the marshal: no more readiness at once; new connections for the stated time; each further answer
+    /// closes its connection; then what is held is finished. True if all of it was.
+    pub fn stop(self) -> bool {
+        self.intake.stopping.store(true, SeqCst);
+        std::thread::sleep(self.limits.accept_after_stop);
+        self.intake.closed.store(true, SeqCst);
+        drop(TcpStream::connect_timeout(&self.listen, Duration::from_millis(100))); // wakes the one who accepts
+        self.intake.clients.part_idle();
+        let until = Instant::now() + self.limits.finish;
+        while self.intake.clients.busy() > 0 && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(5));
+            self.intake.clients.part_idle();
+        }
+        // Those that were told of the end by a close may still take what was written.
+        let until = Instant::now() + self.limits.linger;
+        while !self.intake.clients.is_empty() && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let finished = self.intake.clients.busy() == 0;
+        self.platform.stop();
+        let _ = self.notes.send(Note::Stop); // it may have ended before
+        log::info!("stopped: {}", self.intake.book);
+        finished
+    }
+
+    /// Waits for the sign to stop, then ends the marshal.
+    pub fn stop_on_signal(self) -> io::Result<bool> {
+        let mut signals = Signals::new([SIGTERM, SIGINT])?;
+        let signal = signals.forever().next();
+        log::info!("signal {signal:?}");
+        Ok(self.stop())
+    }
+}
--- a/crates/simhost/src/profile.rs
+++ b/crates/profile/src/lib.rs
@@ -1,4 +1,5 @@
-//! The settings as the wire states them, turned into the decision module's own.
+//! The settings as the users word them, turned into the decision module's own. The simulator's first message
+//! and a marshal's configuration hold the same object; both are read here.
 
 use milletwing_decision::interface::{Class, Control, Effect, Ms, Scope, Settings, Tenant, ZoneId};
 use serde::Deserialize;
@@ -16,6 +17,17 @@
     pub kinds: Vec<String>,
 }
 
+/// What the settings say of connections and answers: for whoever carries the decisions out.
+#[derive(Clone, Copy, Debug)]
+pub struct Transport {
+    /// A connection that is not up by then never comes up.
+    pub connect_timeout: Ms,
+    /// Idle connections are closed after this.
+    pub keepalive: Ms,
+    /// After a client's deadline, a final answer still counts for this long.
+    pub grace: Ms,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Profile {
@@ -119,6 +131,10 @@
     second_copies: bool,
     try_limit: u32,
     max_retry_after_ms: f64,
+    #[serde(default = "connect_timeout")]
+    connect_timeout_ms: f64,
+    #[serde(default = "keepalive")]
+    keepalive_ms: f64,
 }
 
 #[derive(Default, Deserialize)]
@@ -132,6 +148,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Rules {
+    #[serde(default)]
+    grace_to_answer_ms: f64,
     ask_within_ms: f64,
     cold_from: f64,
     cold_ms: f64,
@@ -144,6 +162,14 @@
     1.0
 }
 
+fn connect_timeout() -> f64 {
+    250.0
+}
+
+fn keepalive() -> f64 {
+    30_000.0
+}
+
 fn class(text: &ClassText) -> Result<Class, String> {
     let effect = match text.effect.as_str() {
         "idempotent" => Effect::Idempotent,
@@ -172,13 +198,18 @@
 }
 
 /// Reads the settings of one instance.
-pub fn read(text: &str) -> Result<(Settings, Names), String> {
+pub fn read(text: &str) -> Result<(Settings, Names, Transport), String> {
     let p: Profile = serde_json::from_str(text).map_err(|problem| problem.to_string())?;
     let control = match p.domain.decided_by.as_str() {
         "single" | "majority" => Control::Votes,
         "clocked" => Control::Clocked,
         other => return Err(format!("domain.decided-by `{other}` is unknown")),
     };
+    let transport = Transport {
+        connect_timeout: Ms(p.permissions.connect_timeout_ms),
+        keepalive: Ms(p.permissions.keepalive_ms),
+        grace: Ms(p.rules.grace_to_answer_ms),
+    };
     let settings = Settings {
         marshals: p.balancers,
         me: p.me,
@@ -247,7 +278,7 @@
         zones: p.zones,
         kinds: p.flavors,
     };
-    Ok((settings, names))
+    Ok((settings, names, transport))
 }
 
 /// A name's place in a list.
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -1,12 +1,12 @@
 //! Hosting: batches in, replies out, one marshal per instance and nothing shared among them.
 
 use crate::codec::{bad, write_action, Bad, Line, Problem};
-use crate::profile::{self, position, Names};
 use milletwing_decision::interface::{
     Build, ClassId, Event, FleetForm, Key, KindId, LoadReport, Ms, NodeEntry, NodeId, NodeState, Phase,
     RequestId, StageNews, TenantId, Verdict, ZoneId,
 };
 use milletwing_decision::Marshal;
+use milletwing_profile::{self as profile, position, Names};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::sync::Arc;
@@ -110,7 +110,7 @@
             "SPAWN" => {
                 let salt = line.whole("salt")?;
                 let text = line.tail("profile-data")?;
-                let (settings, names) =
+                let (settings, names, _) =
                     profile::read(text).or_else(|problem| bad("profile-data", problem.replace('\n', " ")))?;
                 let current = self.named()?;
                 let marshal = Marshal::new(settings, salt);
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -2,4 +2,3 @@
 
 pub mod codec;
 pub mod host;
-pub mod profile;
--- a/crates/simhost/tests/wire.rs
+++ b/crates/simhost/tests/wire.rs
@@ -201,18 +201,18 @@
 #[test]
 fn each_control_style_and_permission_is_read_and_unknown_ones_are_named() {
     use milletwing_decision::interface::Control;
-    use milletwing_simhost::profile::read;
+    use milletwing_profile::read;
     for (word, control) in
         [("single", Control::Votes), ("majority", Control::Votes), ("clocked", Control::Clocked)]
     {
-        let (settings, _) = read(&PROFILE.replace("majority", word)).unwrap();
+        let (settings, ..) = read(&PROFILE.replace("majority", word)).unwrap();
         assert_eq!(settings.control, control);
     }
     assert!(read(&PROFILE.replace("majority", "lottery")).unwrap_err().contains("decided-by"));
     let text = PROFILE
         .replace("\"peers\":false", "\"peers\":true")
         .replace("\"second-copies\":false", "\"second-copies\":true");
-    let (settings, names) = read(&text).unwrap();
+    let (settings, names, _) = read(&text).unwrap();
     assert!(settings.peers && settings.second_copies && settings.tenants.is_empty());
     assert_eq!((names.classes.len(), settings.zone.map(|zone| zone.0)), (3, Some(0)));
 }
