--- a/crates/marshal/src/send.rs
+++ b/crates/marshal/src/send.rs
@@ -110,6 +110,20 @@
         *slot = Slot::Cancelled;
     }
 
+    /// Where it stands, for the log.
+    pub fn describe(&self) -> String {
+        let slot = match &*locked(&self.slot) {
+            Slot::Waiting => "waiting",
+            Slot::Out(_) => "out",
+            Slot::Cancelled => "cancelled",
+            Slot::Ended => "ended",
+        };
+        let written = self.written.load(SeqCst);
+        let over = self.until.elapsed().as_millis();
+        let age = self.sent.elapsed().as_millis();
+        format!("to {} {slot}, written {written}, sent {age} ms ago, over for {over} ms", self.node.id.0)
+    }
+
     fn cancelled(&self) -> bool {
         matches!(*locked(&self.slot), Slot::Cancelled)
     }
