The watch tests rare errors exactly: four can be enough where eight were needed

The watch in policy.rs now asks how likely so many of all errors would fall on the build by chance (binomial, by class shares of outcomes), from four on and never from one machine. Ruled out: flags lost on the way (logged one by one).

--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -266,8 +266,7 @@
         self.news.as_ref().is_some_and(|news| build >= news.build)
     }
 
-    /// Rule 5: whether one more attempt of a class at a build stays within the cap, in the window that ends
-    /// now; two ticks of margin on either side.
+    /// Rule 5: whether one more attempt stays within the cap, in the window up to now; two ticks either side.
     fn within_cap(&mut self, build: Build, class: ClassId) -> bool {
         let Some(cap) = self.on_trial(build) else { return true };
         let stage = self.news.as_ref().filter(|news| news.build == build).map_or(0, |news| news.stage);
@@ -316,9 +315,8 @@
         }
     }
 
-    /// Two random choices nearby and two anywhere: the least chance of a late answer, at the expected time by
-    /// in-flight and failures, plus the price of crossing zones. Guards against a zone that carries too much.
-    /// Two that hold a connection of ours, where few get a new one.
+    /// Two random choices nearby, two anywhere and, where few get a connection, two that hold one of ours:
+    /// the least chance of a late answer, by in-flight and failures, plus the price of crossing zones.
     fn two_choices(&mut self, request: &Request, side: usize, stays: bool) -> Option<(NodeId, f64)> {
         let mut best: Option<(NodeId, f64, f64)> = None;
         for place in 0..if self.heard.barred < WIDESPREAD { 2 } else { 3 } {
@@ -342,8 +340,7 @@
         best.map(|(id, predicted, _)| (id, predicted))
     }
 
-    /// One random server that may take the request: drawn and tested, for work that does not grow with the
-    /// fleet; where the draws fail, the first that may from the last draw on.
+    /// One random server that may take the request: drawn and tested; then the first from the last draw on.
     fn draw(&mut self, pool: &[NodeId], request: &Request, stays: bool) -> Option<NodeId> {
         let mut at = 0;
         for _ in 0..DRAWS {
@@ -448,9 +445,8 @@
         let cured = if self.heard.cured.n > 0.0 { self.heard.cured.value } else { 1.0 };
         let helps = !erred || self.is_newest(build) || self.dice.part() < cured.max(FRESH);
         let again = !settled && helps && !(erred && doubted.is_some()) && self.may_retry(&request);
-        // An error may be the request's own, that any node gives: the next attempt tells; where none can
-        // follow, the share cured of late. Two are no evidence and bring no third. Guards against worthless
-        // requests and errors of what all depend on; a build that fails a class nearly always shows less.
+        // An error may be the request's own: the next attempt tells, else the share cured of late. Two are no
+        // evidence and bring no third. Guards against worthless requests and errors of what all depend on.
         if let Some((first, at)) = &doubted {
             if erred || verdict == Verdict::Ok {
                 self.heard.cured.add(f64::from(u8::from(!erred)), FRESH * 3.0);
@@ -643,16 +639,20 @@
         out.push(Action::Log(format!("back: build {} {how}, p or fit {p:.4}", build.0)));
     }
 
-    /// A build may turn bad late, with no earlier machine left: its errors and wrong answers (not slowness)
-    /// are tested against the build before it, if even over a fourth of its machines, as many as one kind.
+    /// A build may turn bad late: its errors and wrong answers (not slowness), rare as they are, are tested
+    /// against its part of the outcomes, if even over a fourth of its machines, as many as may be of a kind.
     fn watch(&mut self, build: Build, out: &mut Vec<Action>) {
-        let (delta, _, _, p) = adjusted_test(&self.after, &self.flow.counts);
-        let outcomes: f64 = self.after.iter().map(|arms| arms[1].n).sum();
+        let (mut bad, mut due, mut total, mut surplus, mut outcomes) = (0.0, 0.0, 0.0, 0.0, 0.0);
+        for [old, new] in &self.after {
+            let part = new.n / (old.n + new.n).max(1.0);
+            (bad, total, outcomes) = (bad + new.y, total + old.y + new.y, outcomes + new.n);
+            (due, surplus) = (due + (old.y + new.y) * part, surplus + new.y - old.y * new.n / old.n.max(1.0));
+        }
+        let p = Binomial::new(due / total, total as u64).map_or(1.0, |law| law.sf((bad - 1.0) as u64));
         let errors = self.nodes.values().filter(|n| n.entry.build == build).map(|n| f64::from(n.errors));
-        let (all, sum, squares) =
-            errors.fold((0.0, 0.0, 0.0), |(all, s, q), e| (all + 1.0, s + e, q + e * e));
-        let harm = delta > self.bars.3 && p < self.bars.0 / LOOKS as f64;
-        if harm && outcomes >= self.bars.1 && sum * sum * 4.0 >= sum.min(all) * squares {
+        let (all, sum, squares) = errors.fold((0.0, 0.0, 0.0), |(n, s, q), e| (n + 1.0, s + e, q + e * e));
+        let harm = bad >= 4.0 && surplus > self.bars.3 * outcomes && p < self.bars.0 / LOOKS as f64;
+        if harm && outcomes >= self.bars.1 && sum * sum >= (sum / 2.0).min(all / 4.0) * squares {
             self.condemn(build, "by its errors", p, out);
         }
     }
--- a/crates/decision/tests/decisions/judging.rs
+++ b/crates/decision/tests/decisions/judging.rs
@@ -334,3 +334,25 @@
     });
     assert!(!b.cast(2, Vote::Back));
 }
+
+/// Wrong answers are told late and seldom, so that few are known as a stage moves on: a handful, where the build
+/// before had hardly any, is enough; as many on one machine, or as rare as before, are not.
+#[test]
+fn a_handful_of_wrong_answers_after_the_release_is_enough_if_many_machines_gave_them() {
+    for (every, machines, expected) in [(40, 12, true), (40, 4, true), (40, 1, false), (1000, 12, false)] {
+        let mut b = trial(3.0, |_, _, _| (Verdict::Ok, 40.0));
+        let entries = (0..12).map(|i| node(&format!("u{i}"), 2)).collect();
+        b.give(Event::Fleet(FleetForm::Replace, entries));
+        b.give(news(2, 3, Phase::Released, 1.0));
+        for i in 0..400u32 {
+            b.pass(10.0);
+            b.serve(i as usize % 3, |_| (Verdict::Ok, 40.0));
+            if i % every == every - 1 {
+                let name = format!("u{}", (i / every) % machines);
+                let (class, age) = (ClassId(i as usize % 3), Ms(1500.0));
+                b.give(Event::Complaint { node: NodeId(std::sync::Arc::from(name.as_str())), class, age });
+            }
+        }
+        assert_eq!(b.cast(2, Vote::Back), expected, "one of {every} at {machines} machines");
+    }
+}
