Signs of harm outlast a stage, and the watch looks at every beat

Now a surplus above the least harm is kept from stage to stage, clean outcomes still are not, and the watch looks at every beat.

--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -115,7 +115,6 @@
     trial: Trial,
     /// Plain failures of the build before the newest, and of the newest since its release.
     after: Vec<[Sums; 2]>,
-    next_watch: Ms,
     step: Step,
     calls: Calls,
 }
@@ -603,10 +602,7 @@
     fn judge(&mut self, out: &mut Vec<Action>) {
         let open = |news: &StageNews| !self.condemned.contains(&news.build);
         let Some(news) = self.news.clone().filter(open) else { return };
-        if self.now >= self.next_watch {
-            self.next_watch = self.now + BETWEEN;
-            self.watch(news.build, out);
-        }
+        self.watch(news.build, out);
         if news.phase == Phase::Trial || self.now - self.trial.since < SETTLED {
             self.in_step(news.build, out);
         }
@@ -738,14 +734,17 @@
         }
         if before.map(|(b, s, p, _)| (b, s, p)) != Some((news.build, news.stage, news.phase)) {
             // Units of a stage that was never looked at are still fresh for the next one.
-            let carried = self.trial.looks == 0 && before.is_some_and(|(build, ..)| build == news.build);
+            let same = before.is_some_and(|(build, ..)| build == news.build);
             let sums = std::mem::take(&mut self.trial.sums);
-            let sums = if carried { sums } else { vec![Default::default(); sums.len()] };
+            let sums =
+                if same && self.trial.looks == 0 { sums } else { vec![Default::default(); sums.len()] };
             let new = before.is_some() || news.phase == Phase::Trial;
             let since = if new { self.now - news.age } else { Ms(f64::MIN) };
             self.trial = Trial { sums, since, ..Trial::default() };
-            for arms in &mut self.after {
-                arms[1] = Sums::default(); // harm that comes late must not drown in clean earlier stages
+            // Harm that comes late must not drown in clean earlier stages; signs of harm are kept.
+            let all = self.after.iter().fold(Sums::default(), |sum, arms| sum.plus(&arms[1]));
+            for arms in self.after.iter_mut().filter(|_| !same || all.y <= self.bars.3 * all.n) {
+                arms[1] = Sums::default();
             }
         }
         self.news = Some(news);
--- a/crates/decision/tests/decisions/judging.rs
+++ b/crates/decision/tests/decisions/judging.rs
@@ -356,3 +356,28 @@
         assert_eq!(b.cast(2, Vote::Back), expected, "one of {every} at {machines} machines");
     }
 }
+
+/// Stages move on faster than wrong answers are told: the few signs of one stage must count in the next, while
+/// clean outcomes must not, or harm that comes late would drown in them.
+#[test]
+fn signs_of_harm_outlast_a_stage_and_clean_outcomes_don_t() {
+    for (signs, late, expected) in [(2, 2, true), (0, 3, false), (0, 8, true)] {
+        let mut b = trial(3.0, |_, _, _| (Verdict::Ok, 40.0));
+        let entries = (0..12).map(|i| node(&format!("u{i}"), 2)).collect();
+        b.give(Event::Fleet(FleetForm::Replace, entries));
+        for (stage, requests, flags) in [(2, 60, signs), (3, 60, late)] {
+            b.give(news(2, stage, Phase::Trial, 1.0));
+            for i in 0..requests {
+                b.pass(10.0);
+                b.serve(i % 3, |_| (Verdict::Ok, 40.0));
+            }
+            for i in 0..flags {
+                let name = format!("u{}", stage + 2 * i);
+                let (class, age) = (ClassId(i as usize % 3), Ms(1500.0));
+                b.give(Event::Complaint { node: NodeId(std::sync::Arc::from(name.as_str())), class, age });
+            }
+        }
+        b.pass(100.0);
+        assert_eq!(b.cast(2, Vote::Back), expected, "{signs} signs, then {late}");
+    }
+}
