--- a/crates/marshal/src/intake.rs
+++ b/crates/marshal/src/intake.rs
@@ -79,6 +79,12 @@
         written.is_ok()
     }
 
+    /// Wakes the thread that reads after the last answer, so that a client which doesn't close its side holds no
+    /// descriptor.
+    pub fn hang_up(&self) {
+        let _ = self.stream.shutdown(Shutdown::Read); // it may have ended by itself
+    }
+
     /// Waits until the request before is answered, then marks the connection as busy. False where it ends.
     fn begin(&self, keep: bool) -> bool {
         let mut standing = self.standing();
@@ -265,6 +271,9 @@
                 coming = None; // the buffer returns to its pool: idle connections hold none
             }
         }
+        if client.standing().parted {
+            return drain(client, limits, &mut chunk);
+        }
         let wanted = match &coming {
             Some(part) => limits.client_read.saturating_sub(part.began.elapsed()),
             None => limits.client_idle,
--- a/crates/marshal/src/relay.rs
+++ b/crates/marshal/src/relay.rs
@@ -53,10 +53,14 @@
     let mut parts = Vec::with_capacity(body.len() + 1);
     parts.push(text.as_slice());
     parts.extend_from_slice(body);
-    open.client.answer(&parts, keep)
+    let written = open.client.answer(&parts, keep);
+    if !keep {
+        open.client.hang_up();
+    }
+    written
 }
 
-/// Writes an answer that no node made.
+/// Writes an answer that no node made. Gives whether the connection outlives it.
 pub fn word(client: &Client, word: Word, keep: bool) -> bool {
     let keep = keep && client.keeps();
     let (status, extra) = match word {
@@ -66,7 +70,7 @@
     };
     let close = if keep { "" } else { "Connection: close\r\n" };
     let text = format!("HTTP/1.1 {status} {}\r\n{extra}{close}Content-Length: 0\r\n\r\n", reason(status));
-    client.answer(&[text.as_bytes()], keep)
+    client.answer(&[text.as_bytes()], keep) && keep
 }
 
 /// Threads that write the answers which the decision thread words; that thread must not wait on a socket.
@@ -91,6 +95,8 @@
 /// The work of one such thread.
 pub fn run(work: &Receiver<(Arc<Open>, Word)>) {
     while let Ok((open, answer)) = work.recv() {
-        word(&open.client, answer, true);
+        if !word(&open.client, answer, true) {
+            open.client.hang_up();
+        }
     }
 }
--- a/crates/marshal/src/server.rs
+++ b/crates/marshal/src/server.rs
@@ -121,6 +121,11 @@
         &self.intake.book
     }
 
+    /// Connections of clients.
+    pub fn clients(&self) -> usize {
+        self.intake.clients.len()
+    }
+
     /// Ends the marshal: no more readiness at once; new connections for the stated time; each further answer
     /// closes its connection; then what is held is finished. True if all of it was.
     pub fn stop(self) -> bool {
--- a/crates/marshal/tests/whole/bad_input.rs
+++ b/crates/marshal/tests/whole/bad_input.rs
@@ -214,3 +214,46 @@
         assert_eq!(world.ask(&lookup("5000m")).word(1), "200");
     }
 }
+
+/// Guards against clients that ask for the end of their connection and never end their side: each would hold a
+/// descriptor outside the limit.
+#[test]
+fn a_client_that_never_closes_after_the_last_answer_holds_no_connection() {
+    let node = serving("ok");
+    let refusing = node_without_room();
+    for (world, status) in [(World::of(&[&node]), "200"), (World::of(&[&refusing]), "503")] {
+        let mut clients = Vec::new();
+        for _ in 0..4 {
+            let mut client = world.client();
+            client.send(lookup("5000m").replace("Host: x", "Connection: close").as_bytes());
+            let answer = client.answer();
+            assert_eq!((answer.word(1), answer.get("Connection")), (status, Some("close")));
+            clients.push(client);
+        }
+        let mut front = world.client();
+        front.send(b"GET /up HTTP/1.0\r\n\r\n");
+        assert_eq!(front.answer().word(1), "200");
+        until("none is held", || world.server.clients() == 0);
+    }
+}
+
+fn node_without_room() -> milletwing_toy::node::Node {
+    node(|_| Reply::TurnAway)
+}
+
+#[test]
+fn where_connections_to_nodes_run_out_each_request_still_gets_one_answer() {
+    let slow = node(|_| {
+        Reply::After(std::time::Duration::from_millis(60), Box::new(Reply::Answer(200, Vec::new())))
+    });
+    let world = World::with(&[&slow], |limits| (limits.node_connections, limits.first_workers) = (2, 1));
+    let mut clients: Vec<Client> = (0..12).map(|_| world.client()).collect();
+    for client in &mut clients {
+        client.send(lookup("5000m").as_bytes());
+    }
+    let words: Vec<String> = clients.iter_mut().map(|client| client.answer().word(1).to_string()).collect();
+    assert!(words.iter().all(|word| word == "200" || word == "503"), "{words:?}");
+    assert!(words.iter().filter(|word| *word == "200").count() >= 2, "{words:?}");
+    assert!(slow.connections().0 <= 2);
+    assert!(format!("{}", world.server.book()).contains("taken 12 "));
+}
