--- a/crates/marshal/src/config.rs
+++ b/crates/marshal/src/config.rs
@@ -97,7 +97,7 @@
     /// Reads a file, and the variables beside it.
     pub fn from_file(path: &str) -> Result<Config, String> {
         let text =
-            std::fs::read_to_string(path).map_err(|problem| format!("GW_CONFIG: {path}: {problem}"))?;
+            std::fs::read_to_string(path).map_err(|problem| format!("configuration {path}: {problem}"))?;
         Config::read(&text, |name| std::env::var(name).ok())
     }
 
