Connections above the limit are turned away at once; ending an idle one loses no request

Two causes in intake.rs: accept waited while all connections were busy, so that requests aged in the kernel's queue, and an idle connection could be shut on a request that its thread had just read. Now accepting goes on, what comes above the limit gets 503 at once, and an idle connection loses only its reading side, so that what had come is answered. Ruled out: threads that fail to start, memory (3 MB).

--- a/crates/marshal/src/book.rs
+++ b/crates/marshal/src/book.rs
@@ -63,6 +63,8 @@
     pub connections: AtomicU64,
     /// Messages answered as malformed.
     pub malformed: AtomicU64,
+    /// Requests above the limit on connections, turned away before the module heard of them.
+    pub turned_away: AtomicU64,
     /// What should not have happened: overdue answers, panics.
     pub defects: AtomicU64,
 }
@@ -77,7 +79,7 @@
         let of = |counter: &AtomicU64| counter.load(Relaxed);
         write!(
             f,
-            "taken {} served {} refused {} failed {} gone {} attempts {} connections {} malformed {} defects {}",
+            "taken {} served {} refused {} failed {} gone {} attempts {} connections {} malformed {} turned away {} defects {}",
             of(&self.taken),
             of(&self.served),
             of(&self.refused),
@@ -86,6 +88,7 @@
             of(&self.attempts),
             of(&self.connections),
             of(&self.malformed),
+            of(&self.turned_away),
             of(&self.defects)
         )
     }
--- a/crates/marshal/src/intake.rs
+++ b/crates/marshal/src/intake.rs
@@ -27,8 +27,12 @@
     busy: bool,
     /// Bytes of a further request have come.
     begun: bool,
+    /// It ends as soon as nothing is on it; its next answer, if there is one, says so.
+    closing: bool,
     /// Nothing more is answered on it.
     parted: bool,
+    /// It was taken above the limit: what comes on it is turned away.
+    over: bool,
     /// Its request asked for the connection's end.
     last: bool,
     since: Instant,
@@ -46,7 +50,8 @@
     /// A connection that was accepted.
     pub fn new(stream: TcpStream, stopping: Arc<AtomicBool>) -> Client {
         let since = Instant::now();
-        let standing = Standing { busy: false, begun: false, parted: false, last: false, since };
+        let (busy, begun, closing, parted, over, last) = (false, false, false, false, false, false);
+        let standing = Standing { busy, begun, closing, parted, over, last, since };
         Client { stream, standing: Mutex::new(standing), free: Condvar::new(), stopping }
     }
 
@@ -56,7 +61,8 @@
 
     /// Whether the connection outlives the answer that is due now.
     pub fn keeps(&self) -> bool {
-        !self.stopping.load(SeqCst) && !self.standing().last
+        let standing = self.standing();
+        !self.stopping.load(SeqCst) && !standing.last && !standing.closing
     }
 
     /// Writes an answer and is free for the next request, or ends sending.
@@ -98,13 +104,15 @@
         true
     }
 
-    /// Ends the connection if no request is on it; its client asks again elsewhere.
-    fn part(&self, how: Shutdown) -> bool {
+    /// Ends the connection if no request is on it; its client asks again elsewhere. Only its reading side is
+    /// shut: what has come by now is still read, and answered. Guards against ending one on a request that its
+    /// thread has just read.
+    fn part(&self) -> bool {
         let mut standing = self.standing();
-        let idle = !standing.busy && !standing.begun;
-        if idle && !standing.parted {
-            standing.parted = true;
-            let _ = self.stream.shutdown(how); // it may be gone already
+        let idle = !standing.busy && !standing.begun && !standing.parted && !standing.closing;
+        if idle {
+            standing.closing = true;
+            let _ = self.stream.shutdown(Shutdown::Read); // it may be gone already
         }
         idle
     }
@@ -112,7 +120,17 @@
     /// Since when it has stood idle.
     fn idle_since(&self) -> Option<Instant> {
         let standing = self.standing();
-        (!standing.busy && !standing.begun && !standing.parted).then_some(standing.since)
+        let idle = !standing.busy && !standing.begun && !standing.parted && !standing.closing;
+        idle.then_some(standing.since)
+    }
+
+    fn stays(&self) -> bool {
+        let standing = self.standing();
+        !standing.parted && !standing.closing && !standing.over
+    }
+
+    fn over(&self) -> bool {
+        self.standing().over
     }
 
     fn wait_at_most(&self, time: Duration) -> io::Result<()> {
@@ -141,7 +159,7 @@
     }
     /// How many have not been ended by us.
     fn staying(&self) -> usize {
-        self.all().values().filter(|client| !client.standing().parted).count()
+        self.all().values().filter(|client| client.stays()).count()
     }
     /// How many have a request that owes its answer, or one that is coming in.
     pub fn busy(&self) -> usize {
@@ -151,18 +169,16 @@
         };
         self.all().values().filter(owes).count()
     }
-    /// Ends the one that has stood idle for longest, but not the newest: its request is on its way.
+    /// Ends the one that has stood idle for longest.
     pub fn make_room(&self) -> bool {
-        let newest = self.next.load(Relaxed).saturating_sub(1);
         let all = self.all();
-        let others = all.iter().filter(|(number, _)| **number != newest).map(|(_, client)| client);
-        let idle = others.filter_map(|client| Some((client.idle_since()?, client)));
-        idle.min_by_key(|(since, _)| *since).is_some_and(|(_, client)| client.part(Shutdown::Both))
+        let idle = all.values().filter_map(|client| Some((client.idle_since()?, client)));
+        idle.min_by_key(|(since, _)| *since).is_some_and(|(_, client)| client.part())
     }
     /// Ends sending on all that stand idle.
     pub fn part_idle(&self) {
         for client in self.all().values() {
-            client.part(Shutdown::Write);
+            client.part();
         }
     }
 }
@@ -185,8 +201,9 @@
     pub closed: AtomicBool,
 }
 
-/// Accepts until told otherwise. Above the limit, and where no descriptor is left, idle connections give way;
-/// where none is idle, new ones wait. The limit leaves room for the one that is accepted above it.
+/// Accepts until told otherwise: a connection that waits to be accepted may hold a request whose time runs.
+/// Above the limit, and where no descriptor is left, idle connections give way. Where none is idle, what comes
+/// on the new one is turned away at once.
 pub fn accept(intake: &Arc<Intake>, listener: &TcpListener) {
     let limits = &intake.gate.limits;
     loop {
@@ -203,10 +220,8 @@
                 std::thread::sleep(limits.accept_pause);
             }
         }
-        while intake.clients.staying() > limits.clients && !intake.closed.load(SeqCst) {
-            if !intake.clients.make_room() {
-                std::thread::sleep(limits.accept_pause);
-            }
+        while intake.clients.len() >= limits.clients + limits.spare_clients && !intake.closed.load(SeqCst) {
+            std::thread::sleep(limits.accept_pause);
         }
     }
 }
@@ -219,6 +234,8 @@
     }
     let number = intake.clients.next.fetch_add(1, Relaxed);
     let client = Arc::new(Client::new(stream, intake.stopping.clone()));
+    let room = intake.clients.staying() < limits.clients || intake.clients.make_room();
+    client.standing().over = !room;
     intake.clients.all().insert(number, client.clone());
     let shared = intake.clone();
     let thread = std::thread::Builder::new().name("client".into()).stack_size(limits.stack);
@@ -256,7 +273,7 @@
             match part.whole(intake, client, open) {
                 Ok(Step::More) => break,
                 Ok(Step::Next) => {}
-                Ok(Step::End) => return,
+                Ok(Step::End) => return drain(client, limits, &mut chunk),
                 Err(Malformed(status)) => {
                     count(&intake.book.malformed);
                     log::debug!("a malformed request, answered {status}");
@@ -309,11 +326,7 @@
                     return;
                 }
                 if coming.is_none() {
-                    // Only where no request is out; else the connection is not idle.
-                    if client.part(Shutdown::Write) {
-                        drain(client, limits, &mut chunk);
-                        return;
-                    }
+                    client.part(); // unless a request is out; reading goes on, and finds the end
                 }
             }
             Err(_) => return,
@@ -407,6 +420,12 @@
             }
             let status = if serves { 200 } else { 503 };
             relay::word(client, Word::Status(status), true);
+        } else if client.over() {
+            if client.begin(false) {
+                count(&intake.book.turned_away);
+                relay::word(client, Word::Refused(None), false);
+            }
+            return Ok(Step::End);
         } else {
             let body: Vec<&[u8]> = parts.iter().map(|part| &after[part.clone()]).collect();
             let admitted = admit(&intake.gate, &head, &body, client, self.began)?;
--- a/crates/marshal/src/limits.rs
+++ b/crates/marshal/src/limits.rs
@@ -20,6 +20,8 @@
     pub line: usize,
     /// Connections of clients held at once.
     pub clients: usize,
+    /// Connections of clients above that, whose requests are turned away.
+    pub spare_clients: usize,
     /// Connections to nodes held at once; also attempts out at once.
     pub node_connections: usize,
     /// Idle connections kept to one node.
@@ -92,8 +94,8 @@
 impl Limits {
     /// The limits under a grant and the settings.
     pub fn new(grant: Grant, transport: &Transport) -> Limits {
-        // Files, the listener, discovery, the platform and connections that are being turned away.
-        let rest = 48.min(grant.sockets / 4);
+        // Files, the listener, discovery and the platform; and as many for connections above the limit.
+        let rest = 64.min(grant.sockets / 4);
         let open = grant.sockets - rest;
         // A request in the works takes a thread on either side and two buffers: at most about 160 KiB.
         let by_memory = (grant.memory_mb as usize * 1024 / 2 / 160).max(16);
@@ -109,6 +111,7 @@
             id: 128,
             line: 8 << 10,
             clients,
+            spare_clients: rest / 2,
             node_connections,
             idle_per_node: node_connections,
             first_workers: 16.min(node_connections),
--- a/crates/marshal/tests/whole/bad_input.rs
+++ b/crates/marshal/tests/whole/bad_input.rs
@@ -257,3 +257,27 @@
     assert!(slow.connections().0 <= 2);
     assert!(format!("{}", world.server.book()).contains("taken 12 "));
 }
+
+/// Guards against requests that wait in the queue of connections until their time is over: where every connection
+/// within the limit is busy, what comes above it is turned away at once, and nothing is lost.
+#[test]
+fn above_the_limit_of_connections_requests_are_turned_away_at_once() {
+    let silent = node(|_| Reply::Silent);
+    let world = World::with(&[&silent], |limits| (limits.clients, limits.spare_clients) = (2, 4));
+    let mut held: Vec<Client> = (0..2).map(|_| world.client()).collect();
+    for client in &mut held {
+        client.send(pay("60000m").as_bytes());
+    }
+    until("both are out", || format!("{}", world.server.book()).contains("attempts 2 "));
+    for _ in 0..6 {
+        let mut client = world.client();
+        client.send(lookup("60000m").as_bytes());
+        let answer = client.answer();
+        assert_eq!((answer.word(1), answer.get("Connection")), ("503", Some("close")));
+    }
+    assert!(format!("{}", world.server.book()).contains("turned away 6 "));
+    for client in &mut held {
+        assert_eq!(client.answer().word(1), "502");
+    }
+    assert_eq!(world.ask(&pay("900m")).word(1), "502");
+}
