Tests of one attempt at a time; an ask that comes amid a failure of discovery is kept

Seen by reading discovery.rs: where changes are pushed, an ask that came in the pause after a failed call was dropped, and a failed FetchAll was not told. Each call now has exactly one answer. crates/marshal/tests/sending.rs checks every outcome of the protocol's table on a single attempt, and that what was given up is never written.

--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -217,9 +217,12 @@
         let limits = self.caller.limits.clone();
         let mut watching = !self.asked;
         let mut pause = limits.retry_first;
+        let mut early = None;
         loop {
             // What the module asks for; a call that fails, or a watch that breaks, is told as unavailable.
-            let ask = if watching {
+            let ask = if let Some(ask) = early.take() {
+                Some(ask)
+            } else if watching {
                 asks.try_recv().ok()
             } else {
                 match asks.recv() {
@@ -250,16 +253,18 @@
                 }
                 Err(problem) => {
                     log::warn!("discovery: {problem}");
-                    if self.asked {
-                        watching = false;
+                    if self.asked || ask.is_some() {
+                        watching = !self.asked;
                         if notes.send(Note::Fleet(FleetForm::Unavailable, Vec::new())).is_err() {
                             return;
                         }
-                    } else {
+                    }
+                    if watching {
                         // The list stays; the next call comes at once, then with growing pauses.
                         match asks.recv_timeout(pause) {
                             Err(RecvTimeoutError::Disconnected) => return,
-                            Ok(_) | Err(RecvTimeoutError::Timeout) => {}
+                            Ok(ask) => early = Some(ask),
+                            Err(RecvTimeoutError::Timeout) => {}
                         }
                         pause = (pause * 2).min(limits.retry_longest);
                     }
