--- a/crates/marshal/src/http.rs
+++ b/crates/marshal/src/http.rs
@@ -107,20 +107,25 @@
     }
 }
 
-fn parse_error(problem: httparse::Error) -> Malformed {
-    Malformed(if problem == httparse::Error::TooManyHeaders { 431 } else { 400 })
+/// The length of a head, once it is whole; one that is too long, or has too many headers, is malformed.
+fn head_length(
+    parsed: httparse::Result<usize>,
+    seen: usize,
+    limits: &Limits,
+) -> Result<Option<usize>, Malformed> {
+    match parsed {
+        Ok(httparse::Status::Complete(length)) if length <= limits.head => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if seen < limits.head => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(Malformed(431)),
+        Err(_) => Err(Malformed(400)),
+    }
 }
 
 /// Reads a request's head; `None` while it is not whole.
 pub fn request<'a>(bytes: &'a [u8], limits: &Limits) -> Result<Option<Head<'a>>, Malformed> {
     let mut room = [httparse::EMPTY_HEADER; HEADERS];
     let mut parsed = httparse::Request::new(&mut room);
-    let length = match parsed.parse(bytes).map_err(parse_error)? {
-        httparse::Status::Complete(length) if length > limits.head => return Err(Malformed(431)),
-        httparse::Status::Complete(length) => length,
-        httparse::Status::Partial if bytes.len() >= limits.head => return Err(Malformed(431)),
-        httparse::Status::Partial => return Ok(None),
-    };
+    let Some(length) = head_length(parsed.parse(bytes), bytes.len(), limits)? else { return Ok(None) };
     let headers: Vec<_> = parsed.headers.iter().map(|header| (header.name, header.value)).collect();
     let framing = framing(&headers, limits, true)?;
     let newer = parsed.version == Some(1);
@@ -134,12 +139,7 @@
 pub fn answer<'a>(bytes: &'a [u8], limits: &Limits) -> Result<Option<Head<'a>>, Malformed> {
     let mut room = [httparse::EMPTY_HEADER; HEADERS];
     let mut parsed = httparse::Response::new(&mut room);
-    let length = match parsed.parse(bytes).map_err(parse_error)? {
-        httparse::Status::Complete(length) if length > limits.head => return Err(Malformed(431)),
-        httparse::Status::Complete(length) => length,
-        httparse::Status::Partial if bytes.len() >= limits.head => return Err(Malformed(431)),
-        httparse::Status::Partial => return Ok(None),
-    };
+    let Some(length) = head_length(parsed.parse(bytes), bytes.len(), limits)? else { return Ok(None) };
     let headers: Vec<_> = parsed.headers.iter().map(|header| (header.name, header.value)).collect();
     let status = parsed.code.unwrap_or(0);
     let bodiless = status < 200 || status == 204 || status == 304;
