--- a/crates/marshal/src/config.rs
+++ b/crates/marshal/src/config.rs
@@ -88,21 +88,33 @@
 }
 
 impl Config {
-    /// Reads the file that `GW_CONFIG` names, and the variables beside it.
-    pub fn load() -> Result<Config, String> {
-        let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG: missing".to_string())?;
-        Config::from_file(&path)
+    /// The file that `GW_CONFIG` names.
+    pub fn path() -> Result<String, String> {
+        std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG: missing".to_string())
     }
 
     /// Reads a file, and the variables beside it.
     pub fn from_file(path: &str) -> Result<Config, String> {
-        let text =
-            std::fs::read_to_string(path).map_err(|problem| format!("configuration {path}: {problem}"))?;
-        Config::read(&text, |name| std::env::var(name).ok())
+        Config::read(&contents(path)?, |name| std::env::var(name).ok())
     }
 
     /// Reads the JSON text; a variable stands before the field of the same name.
     pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        Config::parse(text, &variable, |field| variable("GW_DISCOVERY").or(field))
+    }
+
+    /// Reads a file again while a marshal runs. Its `discovery` stands before the variable, which still holds the
+    /// address of the start; without the field, the variable counts on.
+    pub fn again(path: &str) -> Result<Config, String> {
+        let variable = |name: &str| std::env::var(name).ok();
+        Config::parse(&contents(path)?, &variable, |field| field.or_else(|| variable("GW_DISCOVERY")))
+    }
+
+    fn parse(
+        text: &str,
+        variable: &dyn Fn(&str) -> Option<String>,
+        discovery: impl FnOnce(Option<String>) -> Option<String>,
+    ) -> Result<Config, String> {
         let text: Text = serde_json::from_str(text).map_err(|problem| one_line(&problem.to_string()))?;
         let (settings, names, transport) = milletwing_profile::read(text.settings.get())
             .map_err(|problem| format!("settings: {}", one_line(&problem)))?;
@@ -123,7 +135,7 @@
         Ok(Config {
             name: variable("GW_NAME").unwrap_or(text.name),
             listen: address("listen", variable("GW_LISTEN").or(text.listen))?,
-            discovery: address("discovery", variable("GW_DISCOVERY").or(text.discovery))?,
+            discovery: address("discovery", discovery(text.discovery))?,
             platform: address("platform.address", Some(text.platform.address))?,
             news,
             known: text.known,
@@ -136,6 +148,10 @@
     }
 }
 
+fn contents(path: &str) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|problem| format!("configuration {path}: {problem}"))
+}
+
 fn one_line(text: &str) -> String {
     text.replace(['\n', '\r'], " ")
 }
@@ -146,7 +162,8 @@
         let limits = crate::Limits::new(self.grant, &self.transport);
         format!(
             "{} would listen at {}, ask discovery at {} and the platform at {}; {} classes, {} tenants, \
-             {} nodes known; at most {} connections of clients and {} to nodes",
+             {} nodes known; at most {} connections of clients and {} to nodes; at SIGHUP it would read discovery \
+             and platform.address again, and nothing else",
             self.name,
             self.listen,
             self.discovery,
--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -4,10 +4,11 @@
 use crate::buffers::{Buffer, Buffers};
 use crate::http::{self, Chunks, Framing};
 use crate::limits::Limits;
+use crate::place::Place;
 use crate::relay::write_all;
 use crate::route::Note;
 use crate::wire;
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam_channel::{Receiver, Sender, TryRecvError};
 use milletwing_decision::interface::{Build, FleetForm, KindId, Ms, NodeEntry, NodeId, NodeState, ZoneId};
 use milletwing_profile::{position, Names};
 use serde::Deserialize;
@@ -69,12 +70,14 @@
     })
 }
 
-/// Turns a page into entries. One that can't be read is left out and logged: the others still count.
-pub fn entries(page: &Page, names: &mut Names) -> Vec<(NodeEntry, SocketAddr)> {
+/// Turns a page into entries. One that can't be read is left out and logged; whether that happened is told too.
+pub fn entries(page: &Page, names: &mut Names) -> (Vec<(NodeEntry, SocketAddr)>, bool) {
     let mut out = Vec::with_capacity(page.servers.len());
+    let mut whole = true;
     for server in &page.servers {
         let Some(state) = wire::state(&server.state) else {
             log::warn!("discovery: {} has an unknown state", server.id.escape_debug());
+            whole = false;
             continue;
         };
         let addr = match server.addr.parse::<SocketAddr>() {
@@ -83,6 +86,7 @@
             Err(_) if state == NodeState::Terminated => SocketAddr::from(([0, 0, 0, 0], 0)),
             Err(_) => {
                 log::warn!("discovery: {} has an unreadable address", server.id.escape_debug());
+                whole = false;
                 continue;
             }
         };
@@ -98,42 +102,49 @@
         };
         out.push((entry, addr));
     }
-    out
+    (out, whole)
 }
 
 /// A connection to discovery.
-pub struct Line {
-    stream: TcpStream,
+struct Line {
+    stream: Arc<TcpStream>,
     host: SocketAddr,
+    turn: u64,
 }
 
 /// Calls discovery, on a connection that is kept.
 pub struct Caller {
-    at: SocketAddr,
+    place: Arc<Place>,
     limits: Limits,
     buffers: Buffers,
     line: Option<Line>,
 }
 
 impl Caller {
-    /// Not connected yet.
-    pub fn new(at: SocketAddr, limits: &Limits, buffers: &Buffers) -> Caller {
-        Caller { at, limits: limits.clone(), buffers: buffers.clone(), line: None }
+    /// Not connected yet. A list may be longer than any other message: its one buffer is of its own size.
+    pub fn new(place: &Arc<Place>, limits: &Limits) -> Caller {
+        let limits = Limits { body: limits.list, ..limits.clone() };
+        let buffers = Buffers::new(limits.head + limits.list, 1);
+        Caller { place: place.clone(), limits, buffers, line: None }
     }
 
-    /// One call. After a failure the next one connects anew.
+    /// One call. After a failure, or where discovery has moved, the next one connects anew.
     pub fn call(&mut self, query: &str, patience: Duration) -> io::Result<Page> {
-        let line = match self.line.take() {
+        let (at, turn) = self.place.now();
+        let line = match self.line.take().filter(|line| line.turn == turn) {
             Some(line) => line,
             None => {
-                let stream = TcpStream::connect_timeout(&self.at, self.limits.connect)?;
+                let stream = TcpStream::connect_timeout(&at, self.limits.connect)?;
                 stream.set_nodelay(true)?;
                 stream.set_write_timeout(Some(self.limits.node_write))?;
-                Line { stream, host: self.at }
+                Line { stream: Arc::new(stream), host: at, turn }
             }
         };
+        if !self.place.lend(turn, &line.stream) {
+            return Err(io::Error::new(io::ErrorKind::NotConnected, "it has moved"));
+        }
         let text = format!("GET {}{query} HTTP/1.1\r\nHost: {}\r\n\r\n", wire::LIST, line.host);
-        write_all(&line.stream, &[text.as_bytes()])?;
+        write_all(&*line.stream, &[text.as_bytes()])?;
         let until = Instant::now() + patience;
         let mut buffer = self.buffers.take();
         let (page, keep) = read(&line.stream, &mut buffer, until, &self.limits)?;
@@ -142,6 +153,11 @@
         }
         Ok(page)
     }
+
+    /// The connection is of no further use.
+    pub fn drop_line(&mut self) {
+        self.line = None;
+    }
 }
 
 fn garbled(what: &str) -> io::Error {
@@ -151,7 +167,7 @@
 fn read(
     stream: &TcpStream,
     buffer: &mut Buffer,
-    until: Instant,
+    mut until: Instant,
     limits: &Limits,
 ) -> io::Result<(Page, bool)> {
     let mut chunks = Chunks::default();
@@ -161,13 +177,13 @@
         let head = http::answer(bytes, limits).map_err(|_| garbled("no answer in HTTP"))?;
         if let Some(head) = head {
             let after = &bytes[head.length..];
-            let body = match head.framing {
-                Framing::Length(size) => after.get(..size).map(<[u8]>::to_vec),
-                Framing::UntilClose => closed.then(|| after.to_vec()),
+            let (body, rest) = match head.framing {
+                Framing::Length(size) => (after.get(..size).map(<[u8]>::to_vec), after.len() > size),
+                Framing::UntilClose => (closed.then(|| after.to_vec()), false),
                 Framing::Chunked => {
                     let whole = chunks.read(after, limits).map_err(|_| garbled("bad chunks"))?;
                     let joined = || chunks.parts.iter().flat_map(|part| after[part.clone()].iter().copied());
-                    whole.map(|_| joined().collect())
+                    (whole.map(|_| joined().collect()), whole.is_some_and(|whole| after.len() > whole))
                 }
             };
             if let Some(body) = body {
@@ -175,7 +191,7 @@
                     return Err(garbled("not answered by 200"));
                 }
                 let page = serde_json::from_slice(&body).map_err(|problem| garbled(&problem.to_string()))?;
-                return Ok((page, head.keep));
+                return Ok((page, head.keep && !rest));
             }
         }
         if closed {
@@ -186,6 +202,7 @@
             return Err(io::ErrorKind::TimedOut.into());
         }
         stream.set_read_timeout(Some(left))?;
+        let first = bytes.is_empty();
         let room = buffer.room();
         if room.is_empty() {
             return Err(garbled("longer than a list may be"));
@@ -196,6 +213,10 @@
             Err(problem) if problem.kind() == io::ErrorKind::Interrupted => {}
             Err(problem) => return Err(problem),
         }
+        if first {
+            // Guards against an answer of which only a part comes: what has begun comes at once.
+            until = until.min(Instant::now() + limits.rest_of_answer);
+        }
     }
 }
 
@@ -217,21 +238,29 @@
         let limits = self.caller.limits.clone();
         let mut watching = !self.asked;
         let mut pause = limits.retry_first;
-        let mut early = None;
+        let mut turn = self.caller.place.now().1;
+        // The whole list is wanted, whatever version we hold: discovery has moved, or an entry was unreadable.
+        let (mut anew, mut doubted) = (false, false);
         loop {
+            if self.caller.place.over() {
+                return;
+            }
+            let before = std::mem::replace(&mut turn, self.caller.place.now().1);
+            (anew, pause) = if before == turn { (anew, pause) } else { (true, limits.retry_first) };
             // What the module asks for; a call that fails, or a watch that breaks, is told as unavailable.
-            let ask = if let Some(ask) = early.take() {
-                Some(ask)
-            } else if watching {
-                asks.try_recv().ok()
+            let ask = if watching || anew {
+                match asks.try_recv() {
+                    Ok(ask) => Some(ask),
+                    Err(TryRecvError::Empty) => None,
+                    Err(TryRecvError::Disconnected) => return,
+                }
             } else {
                 match asks.recv() {
                     Ok(ask) => Some(ask),
                     Err(_) => return,
                 }
             };
-            let whole = ask == Some(Ask::Fetch);
-            let query = if whole {
+            let query = if anew || ask == Some(Ask::Fetch) {
                 String::new()
             } else {
                 // The answer to the call that begins a watch is due at once, even if nothing has changed.
@@ -239,12 +268,25 @@
                 let [index, word] = wire::WATCH;
                 format!("?{index}={}&{word}={}", self.version, wait.as_millis())
             };
-            match self.caller.call(&query, limits.watch + limits.watch_margin) {
-                Ok(page) => {
+            let mut told = self.caller.call(&query, limits.watch + limits.watch_margin).map(|page| {
+                let (entries, whole) = entries(&page, &mut self.names);
+                (page, entries, whole)
+            });
+            // An answer is true if it can be read whole. Guards against losing the change that an unreadable entry
+            // held: the whole list is asked for once more. If it says the same again, the rest of it counts.
+            if let Ok((_, _, false)) = told {
+                self.caller.drop_line();
+                if !doubted {
+                    told = Err(garbled("an entry that can't be read"));
+                }
+                (anew, doubted) = (!doubted, !doubted);
+            }
+            match told {
+                Ok((page, entries, whole)) => {
                     pause = limits.retry_first;
+                    (anew, doubted) = (false, doubted && !whole);
                     watching |= ask == Some(Ask::Subscribe);
                     let form = if page.full { FleetForm::Replace } else { FleetForm::Update };
-                    let entries = entries(&page, &mut self.names);
                     self.version = page.version;
                     let news = page.full || !entries.is_empty() || ask.is_some();
                     if news && notes.send(Note::Fleet(form, entries)).is_err() {
@@ -253,19 +295,17 @@
                 }
                 Err(problem) => {
                     log::warn!("discovery: {problem}");
-                    if self.asked || ask.is_some() {
+                    let moved = self.caller.place.now().1 != turn;
+                    // A move is no failure: the list is asked for anew at the new address, and the watch goes on.
+                    if ask.is_some() || (self.asked && !moved && !anew) {
                         watching = !self.asked;
                         if notes.send(Note::Fleet(FleetForm::Unavailable, Vec::new())).is_err() {
                             return;
                         }
                     }
-                    if watching {
+                    if watching || anew {
                         // The list stays; the next call comes at once, then with growing pauses.
-                        match asks.recv_timeout(pause) {
-                            Err(RecvTimeoutError::Disconnected) => return,
-                            Ok(ask) => early = Some(ask),
-                            Err(RecvTimeoutError::Timeout) => {}
-                        }
+                        self.caller.place.rest(turn, pause);
                         pause = (pause * 2).min(limits.retry_longest);
                     }
                 }
--- a/crates/marshal/src/intake.rs
+++ b/crates/marshal/src/intake.rs
@@ -35,12 +35,15 @@
     over: bool,
     /// Its request asked for the connection's end.
     last: bool,
+    /// A whole request that could be admitted has come on it.
+    proven: bool,
     since: Instant,
 }
 
 /// A client's connection.
 pub struct Client {
     stream: TcpStream,
+    connected: Instant,
     standing: Mutex<Standing>,
     free: Condvar,
     stopping: Arc<AtomicBool>,
@@ -50,9 +53,10 @@
     /// A connection that was accepted.
     pub fn new(stream: TcpStream, stopping: Arc<AtomicBool>) -> Client {
         let since = Instant::now();
-        let (busy, begun, closing, parted, over, last) = (false, false, false, false, false, false);
-        let standing = Standing { busy, begun, closing, parted, over, last, since };
-        Client { stream, standing: Mutex::new(standing), free: Condvar::new(), stopping }
+        let (busy, begun, closing, parted, over) = (false, false, false, false, false);
+        let (last, proven) = (false, false);
+        let standing = Standing { busy, begun, closing, parted, over, last, proven, since };
+        Client { stream, connected: since, standing: Mutex::new(standing), free: Condvar::new(), stopping }
     }
 
     fn standing(&self) -> MutexGuard<'_, Standing> {
@@ -117,11 +121,33 @@
         idle
     }
 
-    /// Since when it has stood idle.
-    fn idle_since(&self) -> Option<Instant> {
+    /// How soon it gives way to others, and since when it has stood so: first who has never sent a whole request and
+    /// says nothing, then who stays with a part of one, then usual clients that stand idle.
+    fn gives_way(&self, first_bytes: Duration) -> Option<(u8, Instant)> {
         let standing = self.standing();
-        let idle = !standing.busy && !standing.begun && !standing.parted && !standing.closing;
-        idle.then_some(standing.since)
+        let free = !standing.busy && !standing.parted && !standing.closing;
+        match (standing.proven, standing.begun) {
+            (false, false) if free => Some((0, standing.since)),
+            (false, true) if free && standing.since.elapsed() >= first_bytes => Some((1, standing.since)),
+            (true, false) if free => Some((2, standing.since)),
+            _ => None,
+        }
+    }
+
+    /// Ends it for another's sake. Only its reading side is shut, as in `part`, and a request that has just been
+    /// read whole is still answered.
+    fn give_way(&self) {
+        let mut standing = self.standing();
+        if !standing.busy && !standing.parted {
+            standing.closing = true;
+            let _ = self.stream.shutdown(Shutdown::Read); // it may be gone already
+        }
+    }
+
+    /// Time for its first whole request to come; none left where it has had it.
+    fn first_left(&self, limits: &Limits) -> Option<Duration> {
+        let proven = self.standing().proven;
+        (!proven).then(|| limits.client_first.saturating_sub(self.connected.elapsed()))
     }
 
     fn stays(&self) -> bool {
@@ -169,11 +195,16 @@
         };
         self.all().values().filter(owes).count()
     }
-    /// Ends the one that has stood idle for longest.
-    pub fn make_room(&self) -> bool {
+    /// Ends one for another's sake: those that never sent a whole request before usual clients, and among them the
+    /// one that has stood so for longest.
+    pub fn make_room(&self, first_bytes: Duration) -> bool {
         let all = self.all();
-        let idle = all.values().filter_map(|client| Some((client.idle_since()?, client)));
-        idle.min_by_key(|(since, _)| *since).is_some_and(|(_, client)| client.part())
+        let idle = all.values().filter_map(|client| Some((client.gives_way(first_bytes)?, client)));
+        let first = idle.min_by_key(|(order, _)| *order);
+        first.is_some_and(|(_, client)| {
+            client.give_way();
+            true
+        })
     }
     /// Ends sending on all that stand idle.
     pub fn part_idle(&self) {
@@ -216,7 +247,7 @@
             Err(problem) => {
                 // Out of descriptors, or a connection that broke while it waited: neither ends the marshal.
                 log::warn!("accepting: {problem}");
-                intake.clients.make_room();
+                intake.clients.make_room(limits.first_bytes);
                 std::thread::sleep(limits.accept_pause);
             }
         }
@@ -234,7 +265,10 @@
     }
     let number = intake.clients.next.fetch_add(1, Relaxed);
     let client = Arc::new(Client::new(stream, intake.stopping.clone()));
-    let room = intake.clients.staying() < limits.clients || intake.clients.make_room();
+    // Below the limit nobody is counted one by one: that would cost each accept a look at all connections.
+    let room = intake.clients.len() < limits.clients
+        || intake.clients.staying() < limits.clients
+        || intake.clients.make_room(limits.first_bytes);
     client.standing().over = !room;
     intake.clients.all().insert(number, client.clone());
     let shared = intake.clone();
@@ -295,6 +329,10 @@
             Some(part) => limits.client_read.saturating_sub(part.began.elapsed()),
             None => limits.client_idle,
         };
+        // Guards against clients that say nothing, or never come to an end: the first request has its time from
+        // connecting on.
+        let first = client.first_left(limits);
+        let wanted = first.map_or(wanted, |left| wanted.min(left));
         if coming.is_some() || patience != wanted {
             patience = wanted;
             if client.wait_at_most(wanted).is_err() {
@@ -317,7 +355,11 @@
             }
             Err(problem) if problem.kind() == io::ErrorKind::Interrupted => {}
             Err(problem) if matches!(problem.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
-                if coming.as_ref().is_some_and(|part| part.began.elapsed() >= limits.client_read) {
+                let first_over = client.first_left(limits).is_some_and(|left| left.is_zero());
+                if coming
+                    .as_ref()
+                    .is_some_and(|part| first_over || part.began.elapsed() >= limits.client_read)
+                {
                     if client.begin(false) {
                         count(&intake.book.malformed);
                         relay::word(client, Word::Status(408), false);
@@ -334,16 +376,18 @@
     }
 }
 
-/// Reads what still comes after our last answer, so that it isn't cut off by a reset.
+/// Reads what still comes after our last answer, so that it isn't cut off by a reset; of a body without end only so
+/// much, since reading it costs time that others need.
 fn drain(client: &Client, limits: &Limits, chunk: &mut [u8]) {
     let until = Instant::now() + limits.linger;
-    loop {
+    let mut amount = 0;
+    while amount < limits.linger_bytes {
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() || client.wait_at_most(left).is_err() {
             return;
         }
         match (&client.stream).read(chunk) {
-            Ok(read) if read > 0 => {}
+            Ok(read) if read > 0 => amount += read,
             _ => return,
         }
     }
@@ -429,6 +473,7 @@
         } else {
             let body: Vec<&[u8]> = parts.iter().map(|part| &after[part.clone()]).collect();
             let admitted = admit(&intake.gate, &head, &body, client, self.began)?;
+            client.standing().proven = true;
             if !client.begin(head.keep) {
                 return Ok(Step::End);
             }
--- a/crates/marshal/src/lib.rs
+++ b/crates/marshal/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! A request passes `intake` (accept, read), `admit` (its event), `route` (the one decision thread), `send`
 //! (one attempt at a node), `relay` (the client's answer) and `book` (who is owed what). `discovery` and
-//! `platform` speak with the outside; `wire` holds the users' names and forms.
+//! `platform` speak with the outside, at a `place` that `reload` may move; `wire` holds the users' names and forms.
 
 pub mod admit;
 pub mod book;
@@ -14,8 +14,10 @@
 pub mod http;
 pub mod intake;
 pub mod limits;
+pub mod place;
 pub mod platform;
 pub mod relay;
+pub mod reload;
 pub mod route;
 pub mod send;
 pub mod server;
@@ -23,4 +25,4 @@
 
 pub use config::Config;
 pub use limits::Limits;
-pub use server::Server;
+pub use server::{Server, Signs};
--- a/crates/marshal/src/limits.rs
+++ b/crates/marshal/src/limits.rs
@@ -10,6 +10,8 @@
     pub head: usize,
     /// Longest body of a message.
     pub body: usize,
+    /// Longest list of discovery.
+    pub list: usize,
     /// Size of every buffer: a head, a body and what frames it.
     pub buffer: usize,
     /// Buffers kept for use again.
@@ -42,14 +44,24 @@
     pub connect: Duration,
     /// A connection of a client on which no request begins for this long is closed.
     pub client_idle: Duration,
+    /// From connecting, time for the first whole request to come.
+    pub client_first: Duration,
+    /// Who has begun a first request stays for this long before giving way to others.
+    pub first_bytes: Duration,
     /// From a request's first byte, time for all of it to come.
     pub client_read: Duration,
     /// An answer that a client doesn't take within this ends its connection.
     pub client_write: Duration,
     /// After an answer that closes, how long a client may take to close its side.
     pub linger: Duration,
+    /// Bytes that are read meanwhile.
+    pub linger_bytes: usize,
     /// A request that doesn't leave within this ends the attempt's connection.
     pub node_write: Duration,
+    /// Interim answers of a node that are read before its answer.
+    pub interim: usize,
+    /// A connection to a node that was used this lately is used again only where no other stands idle.
+    pub node_quiet: Duration,
     /// An idle connection to a node is not used after this.
     pub node_idle: Duration,
     /// Longest time that a client may ask us to wait.
@@ -60,6 +72,8 @@
     pub watch: Duration,
     /// How long past that wait its answer may take.
     pub watch_margin: Duration,
+    /// From the first byte of an answer of discovery, or of a line of the platform, time for the rest of it.
+    pub rest_of_answer: Duration,
     /// First and longest pause before asking discovery or the platform anew.
     pub retry_first: Duration,
     /// The longest such pause.
@@ -105,6 +119,7 @@
         Limits {
             head,
             body,
+            list: 1 << 20,
             // Above the allocator's bar for pages of their own, so that only what is written takes memory.
             buffer: (head + body + (60 << 10)).next_multiple_of(4 << 10),
             spare_buffers: clients + node_connections,
@@ -122,17 +137,24 @@
             route_stack: 1 << 20,
             connect: span(transport.connect_timeout.0),
             client_idle: span(transport.keepalive.0 * 2.0),
-            client_read: Duration::from_secs(5),
+            client_first: Duration::from_millis(2000),
+            first_bytes: Duration::from_millis(200),
+            client_read: Duration::from_millis(2500),
             client_write: Duration::from_secs(1),
             linger: Duration::from_millis(300),
+            linger_bytes: 256 << 10,
             node_write: Duration::from_secs(1),
+            interim: 16,
+            node_quiet: Duration::from_millis(2),
             node_idle: span(transport.keepalive.0 * 0.8),
             longest_wait: Duration::from_secs(300),
             overdue: span(transport.grace.0 + 30.0),
             watch: Duration::from_secs(2),
             watch_margin: Duration::from_millis(500),
+            rest_of_answer: Duration::from_millis(300),
             retry_first: Duration::from_millis(20),
-            retry_longest: Duration::from_secs(1),
+            // A watch goes on only if the next call comes within 200 ms of the last answer.
+            retry_longest: Duration::from_millis(160),
             platform_silence: Duration::from_millis(3200),
             accept_after_stop: Duration::from_millis(600),
             finish: Duration::from_secs(20),
--- a/crates/marshal/src/platform.rs
+++ b/crates/marshal/src/platform.rs
@@ -2,6 +2,7 @@
 //! the order of the calls.
 
 use crate::limits::Limits;
+use crate::place::Place;
 use crate::relay::write_all;
 use crate::route::Note;
 use crate::wire::{self, Told};
@@ -11,7 +12,6 @@
 use std::collections::VecDeque;
 use std::io::{self, Read};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// A vote on its way.
@@ -36,33 +36,24 @@
 
 /// The connection and who waits on it.
 pub struct Platform {
-    at: SocketAddr,
+    place: Arc<Place>,
     limits: Limits,
     names: Names,
     notes: Sender<Note>,
     link: Mutex<Link>,
-    over: AtomicBool,
 }
 
 impl Platform {
     /// Not connected yet.
-    pub fn new(at: SocketAddr, limits: &Limits, names: &Names, notes: Sender<Note>) -> Platform {
-        let (link, over) = (Mutex::default(), AtomicBool::new(false));
-        Platform { at, limits: limits.clone(), names: names.clone(), notes, link, over }
+    pub fn new(place: &Arc<Place>, limits: &Limits, names: &Names, notes: Sender<Note>) -> Platform {
+        let (place, names, link) = (place.clone(), names.clone(), Mutex::default());
+        Platform { place, limits: limits.clone(), names, notes, link }
     }
 
     fn link(&self) -> MutexGuard<'_, Link> {
         self.link.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Ends the connection for good.
-    pub fn stop(&self) {
-        self.over.store(true, SeqCst);
-        if let Some(stream) = &self.link().stream {
-            let _ = stream.shutdown(Shutdown::Both); // it may have ended by itself
-        }
-    }
-
     /// Writes votes until the decision thread has ended. Only this thread writes calls, so their order on the
     /// connection is that of the list.
     pub fn write(&self, ballots: &Receiver<Ballot>) {
@@ -86,12 +77,13 @@
         }
     }
 
-    /// Reads what the platform tells; renews the connection at once, then with growing pauses.
+    /// Reads what the platform tells; renews the connection at once, then with growing pauses. Where the platform
+    /// moves, the connection ends, and with it each vote that is unanswered; a new one is made at once.
     pub fn read(&self) {
         let mut pause = self.limits.retry_first;
-        while !self.over.load(SeqCst) {
-            let mut heard = false;
-            if let Err(problem) = self.listen(&mut heard) {
+        while !self.place.over() {
+            let (mut heard, (at, turn)) = (false, self.place.now());
+            if let Err(problem) = self.listen(at, turn, &mut heard) {
                 log::warn!("platform: {problem}");
             }
             let calls = {
@@ -104,17 +96,17 @@
                 // ends only with us
             }
             pause = if heard { self.limits.retry_first } else { (pause * 2).min(self.limits.retry_longest) };
-            if !self.over.load(SeqCst) {
-                std::thread::sleep(pause);
-            }
+            self.place.rest(turn, pause);
         }
     }
 
-    fn listen(&self, heard: &mut bool) -> io::Result<()> {
-        let stream = Arc::new(TcpStream::connect_timeout(&self.at, self.limits.connect)?);
+    fn listen(&self, at: SocketAddr, turn: u64, heard: &mut bool) -> io::Result<()> {
+        let stream = Arc::new(TcpStream::connect_timeout(&at, self.limits.connect)?);
+        if !self.place.lend(turn, &stream) {
+            return Ok(()); // it has moved meanwhile
+        }
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(self.limits.node_write))?;
-        stream.set_read_timeout(Some(self.limits.platform_silence))?;
         {
             let mut link = self.link();
             write_all(&*stream, &[wire::SUBSCRIBE.as_bytes()])?;
@@ -124,6 +116,10 @@
         let mut text: Vec<u8> = Vec::new();
         let mut chunk = [0u8; 2048];
         loop {
+            // Guards against a line of which only a part comes: nothing else would on that connection.
+            let begun = !text.is_empty();
+            let patience = if begun { self.limits.rest_of_answer } else { self.limits.platform_silence };
+            stream.set_read_timeout(Some(patience))?;
             let read = match (&*stream).read(&mut chunk) {
                 Ok(0) => return Ok(()),
                 Ok(read) => read,
@@ -135,7 +131,7 @@
                 if byte == b'\n' {
                     let line = String::from_utf8_lossy(text.trim_ascii_end()).into_owned();
                     text.clear();
-                    self.told(&line)?;
+                    self.told(&line).inspect_err(|_| log::debug!("spoilt: {}", line.escape_debug()))?;
                 } else if text.len() >= self.limits.line {
                     return Err(io::Error::new(io::ErrorKind::InvalidData, "a line of 8 KiB or more"));
                 } else {
@@ -153,7 +149,7 @@
         let event = match told {
             Told::Alive => None,
             Told::News => {
-                log::debug!("platform: not understood: {}", line.escape_debug());
+                log::info!("platform: not understood: {}", line.escape_debug());
                 None
             }
             Told::Stage(state, phase) => Some(Event::Stage(wire::news(state, phase, false))),
@@ -165,6 +161,9 @@
                 let node = NodeId(Arc::from(node.as_str()));
                 Event::Complaint { node, class, age: Ms(age) }
             }),
+            Told::Garbage if line.starts_with('*') => {
+                return Err(io::Error::new(io::ErrorKind::InvalidData, "news that can't be read"));
+            }
             Told::Ok(..) | Told::Refused(_) | Told::Garbage => {
                 let Some(call) = self.link().calls.pop_front() else {
                     return Err(io::Error::new(io::ErrorKind::InvalidData, "an answer to no call"));
--- a/crates/marshal/src/send.rs
+++ b/crates/marshal/src/send.rs
@@ -307,14 +307,19 @@
     fn read(&self, attempt: &Attempt, link: &Link, buffer: &mut Buffer) -> Result<(Verdict, bool), Verdict> {
         let limits = &self.limits;
         let mut chunks = Chunks::default();
-        let mut closed = false;
+        let mut interim = 0;
         loop {
             // The head is read anew with each piece: answers are short and come in one.
             let bytes = buffer.bytes();
             let whole = match http::answer(bytes, limits) {
                 Err(_) => return Err(Verdict::Reset),
                 Ok(None) => None,
+                // Guards against interim answers without end.
+                Ok(Some(head)) if head.status < 200 && interim >= limits.interim => {
+                    return Err(Verdict::Reset)
+                }
                 Ok(Some(head)) if head.status < 200 => {
+                    interim += 1;
                     let length = head.length;
                     buffer.cut(0..length); // an interim answer; the real one follows
                     continue;
@@ -326,8 +331,8 @@
                             let whole = after.len() >= size;
                             (std::iter::once(0..size).collect(), whole, after.len() > size)
                         }
-                        Framing::UntilClose if after.len() > limits.body => return Err(Verdict::Reset),
-                        Framing::UntilClose => (std::iter::once(0..after.len()).collect(), closed, false),
+                        // Guards against half an answer: nothing tells one that a break cut short.
+                        Framing::UntilClose => return Err(Verdict::Reset),
                         Framing::Chunked => {
                             let framed = chunks.read(after, limits).map_err(|_| Verdict::Reset)?;
                             let rest = framed.is_some_and(|framed| after.len() > framed);
@@ -352,17 +357,12 @@
                 }
                 return Ok((verdict, head.keep && !rest));
             }
-            if closed {
-                return Err(Verdict::Reset);
-            }
             let room = buffer.room();
             if room.is_empty() {
                 return Err(Verdict::Reset); // longer than an answer may be
             }
             match (&link.stream).read(room) {
-                // Our own end must not pass for the node's: half an answer would look whole.
-                Ok(0) if attempt.given_up().is_some() => return Err(Verdict::Reset),
-                Ok(0) => closed = true,
+                Ok(0) => return Err(Verdict::Reset),
                 Ok(read) => buffer.grow(read),
                 Err(problem) if problem.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return Err(Verdict::Reset),
@@ -370,10 +370,16 @@
         }
     }
 
-    /// An idle connection that is still open, the latest used first.
+    /// An idle connection that is still open, the latest used first; but rather one that has been quiet for a
+    /// moment. Guards against bytes that come right behind an answer: they must not pass for the next one's.
     fn idle(&self, node: &Node) -> Option<Arc<Link>> {
         loop {
-            let (link, since) = locked(&node.idle).pop()?;
+            let (link, since) = {
+                let mut idle = locked(&node.idle);
+                let quiet = idle.iter().rposition(|(_, since)| since.elapsed() >= self.limits.node_quiet);
+                let at = quiet.or(idle.len().checked_sub(1))?;
+                idle.remove(at)
+            };
             if since.elapsed() >= self.limits.node_idle {
                 locked(&node.idle).clear(); // the others are older still
                 return None;
--- a/crates/marshal/src/server.rs
+++ b/crates/marshal/src/server.rs
@@ -8,12 +8,14 @@
 use crate::discovery::{self, Ask, Caller, Watch};
 use crate::intake::{self, Clients, Intake};
 use crate::limits::Limits;
+use crate::place::Place;
 use crate::platform::Platform;
 use crate::relay::{self, Relays};
+use crate::reload::Reload;
 use crate::route::{Note, Route, Tools};
 use crate::send::Senders;
 use crossbeam_channel::{bounded, Sender};
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -21,12 +23,24 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// The signs that the program is sent. Taken before a marshal starts, so that none of them ends it unawares.
+pub struct Signs(Signals);
+
+impl Signs {
+    /// From here on they are kept for `Server::serve`.
+    pub fn new() -> io::Result<Signs> {
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).map(Signs)
+    }
+}
+
 /// A marshal that runs.
 pub struct Server {
     /// Where it listens.
     pub listen: SocketAddr,
     intake: Arc<Intake>,
-    platform: Arc<Platform>,
+    reload: Reload,
+    discovery: Arc<Place>,
+    platform: Arc<Place>,
     notes: Sender<Note>,
     limits: Limits,
     /// Kept so that discovery's thread ends with the marshal.
@@ -66,7 +80,7 @@
         }
 
         let mut names = config.names.clone();
-        let known = discovery::entries(&config.known, &mut names);
+        let (known, _) = discovery::entries(&config.known, &mut names); // what can be read; the rest is asked for
         let tools = Tools {
             settings: config.settings.clone(),
             seed: config.seed,
@@ -87,12 +101,15 @@
         })?;
         let _ = began.recv(); // the module holds the list and the news before any request
 
-        let platform = Arc::new(Platform::new(config.platform, &limits, &config.names, notes.clone()));
-        let (reader, writer) = (platform.clone(), platform.clone());
+        let discovery = Arc::new(Place::new(config.discovery));
+        let platform = Arc::new(Place::new(config.platform));
+        let reload = Reload::new(&config, &discovery, &platform);
+        let reader = Arc::new(Platform::new(&platform, &limits, &config.names, notes.clone()));
+        let writer = reader.clone();
         start("platform-read", limits.stack, move || reader.read())?;
         start("platform-write", limits.stack, move || writer.write(&votes))?;
         let watch = Watch {
-            caller: Caller::new(config.discovery, &limits, &buffers),
+            caller: Caller::new(&discovery, &limits),
             names,
             version: config.known.version,
             asked: config.settings.ask_discovery,
@@ -113,7 +130,7 @@
         let shared = intake.clone();
         start("accept", limits.stack, move || intake::accept(&shared, &listener))?;
         log::info!("{} listens at {listen}", config.name);
-        Ok(Server { listen, intake, platform, notes, limits, _asks: asks })
+        Ok(Server { listen, intake, reload, discovery, platform, notes, limits, _asks: asks })
     }
 
     /// The counters.
@@ -145,17 +162,28 @@
             std::thread::sleep(Duration::from_millis(5));
         }
         let finished = self.intake.clients.busy() == 0;
-        self.platform.stop();
+        self.platform.end();
+        self.discovery.end();
         let _ = self.notes.send(Note::Stop); // it may have ended before
         log::info!("stopped: {}", self.intake.book);
         finished
     }
 
-    /// Waits for the sign to stop, then ends the marshal.
-    pub fn stop_on_signal(self) -> io::Result<bool> {
-        let mut signals = Signals::new([SIGTERM, SIGINT])?;
-        let signal = signals.forever().next();
-        log::info!("signal {signal:?}");
-        Ok(self.stop())
+    /// Takes on what may change while it runs, from a configuration read anew.
+    pub fn reload(&self, read: Result<Config, String>) {
+        self.reload.take(read);
+    }
+
+    /// Serves until the sign to stop, then ends the marshal; at a hang-up the configuration is read again. One that
+    /// comes while it stops is heard by nobody, and ends nothing.
+    pub fn serve(self, mut signs: Signs, again: impl Fn() -> Result<Config, String>) -> bool {
+        for sign in signs.0.forever() {
+            if sign != SIGHUP {
+                log::info!("signal {sign}");
+                break;
+            }
+            self.reload(again());
+        }
+        self.stop()
     }
 }
--- a/crates/marshal/src/wire.rs
+++ b/crates/marshal/src/wire.rs
@@ -114,7 +114,7 @@
     Tally(u32, String, [f64; 4]),
     /// `* flag`: node, class, age.
     Flag(String, String, f64),
-    /// A line that begins with `*` and that this version doesn't know.
+    /// A line that begins with `*` and goes on with a word that this version doesn't know.
     News,
     /// Anything else.
     Garbage,
@@ -160,7 +160,9 @@
             let [age] = numbers::<1>(&[age])?;
             Told::Flag((*node).to_string(), (*class).to_string(), age)
         }
-        ["*", ..] => Told::News,
+        // Words that this version knows, with fields that can't be read, or no words at all: spoilt.
+        ["*", "tally" | "flag", ..] => return None,
+        ["*", word, ..] if word.bytes().all(|b| b.is_ascii_lowercase()) => Told::News,
         _ => return None,
     })
 }
@@ -168,7 +170,7 @@
 /// Reads a line of the platform, without its end.
 pub fn line(text: &str) -> Told {
     let words: Vec<&str> = text.split(' ').filter(|word| !word.is_empty()).collect();
-    told(&words).unwrap_or(if words.first() == Some(&"*") { Told::News } else { Told::Garbage })
+    told(&words).unwrap_or(Told::Garbage)
 }
 
 /// The platform's state of the newest build as the module takes it.
--- a/crates/marshal/tests/whole/main.rs
+++ b/crates/marshal/tests/whole/main.rs
@@ -3,4 +3,5 @@
 mod answers;
 mod bad_input;
 mod outside;
+mod reload;
 mod support;
--- a/crates/milletwing/src/main.rs
+++ b/crates/milletwing/src/main.rs
@@ -1,7 +1,7 @@
 //! The program: a marshal, its version, and a check of its configuration.
 
 use argh::FromArgs;
-use milletwing_marshal::{Config, Server};
+use milletwing_marshal::{Config, Server, Signs};
 
 /// A proxy that tries out new builds on live traffic.
 #[derive(FromArgs)]
@@ -18,7 +18,7 @@
     Check(Check),
 }
 
-/// Runs one marshal in the foreground until SIGTERM.
+/// Runs one marshal in the foreground until SIGTERM; at SIGHUP it reads its configuration again.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
@@ -41,17 +41,20 @@
     config: Option<String>,
 }
 
-fn load(path: Option<String>) -> Result<Config, String> {
-    path.map_or_else(Config::load, |path| Config::from_file(&path))
+fn path(given: Option<String>) -> Result<String, String> {
+    given.map_or_else(Config::path, Ok)
 }
 
 fn run(call: Call) -> Result<bool, String> {
     match call {
         Call::Version(Version {}) => println!("milletwing {}", env!("CARGO_PKG_VERSION")),
-        Call::Check(Check { config }) => println!("{}", load(config)?.summary()),
+        Call::Check(Check { config }) => println!("{}", Config::from_file(&path(config)?)?.summary()),
         Call::Serve(Serve { config }) => {
-            let server = Server::start(load(config)?).map_err(|problem| format!("starting: {problem}"))?;
-            return server.stop_on_signal().map_err(|problem| format!("signals: {problem}"));
+            let signs = Signs::new().map_err(|problem| format!("signals: {problem}"))?;
+            let path = path(config)?;
+            let server = Server::start(Config::from_file(&path)?);
+            let server = server.map_err(|problem| format!("starting: {problem}"))?;
+            return Ok(server.serve(signs, || Config::again(&path)));
         }
     }
     Ok(true)
--- a/examples/toy/src/platform.rs
+++ b/examples/toy/src/platform.rs
@@ -60,6 +60,13 @@
     pub fn tell(&self, line: &str) {
         tell(&mut locked(&self.state), line);
     }
+    /// Writes the beginning of a line to all that have subscribed.
+    pub fn tell_part(&self, text: &str) {
+        let mut state = locked(&self.state);
+        state.listeners.drain(..).for_each(|stream| {
+            let _ = (&*stream).write_all(text.as_bytes()); // it may have ended
+        });
+    }
     /// Ends all connections.
     pub fn cut(&self) {
         for stream in locked(&self.state).listeners.drain(..) {
