Idle client connections end after 2.1 s; a wait broken by a signal is no half answer

Discovery's half-answer time began at a read that a signal had interrupted (0.5 s after each start, nothing had come): now only with the first byte.

--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -202,7 +202,7 @@
             return Err(io::ErrorKind::TimedOut.into());
         }
         stream.set_read_timeout(Some(left))?;
-        let first = bytes.is_empty();
+        let before = bytes.len();
         let room = buffer.room();
         if room.is_empty() {
             return Err(garbled("longer than a list may be"));
@@ -211,9 +211,13 @@
             Ok(0) => closed = true,
             Ok(read) => buffer.grow(read),
             Err(problem) if problem.kind() == io::ErrorKind::Interrupted => {}
-            Err(problem) => return Err(problem),
+            Err(problem) => {
+                let came = &buffer.bytes()[..buffer.bytes().len().min(200)];
+                log::debug!("discovery: until then {}", came.escape_ascii());
+                return Err(problem);
+            }
         }
-        if first {
+        if before == 0 && !buffer.bytes().is_empty() {
             // Guards against an answer of which only a part comes: what has begun comes at once.
             until = until.min(Instant::now() + limits.rest_of_answer);
         }
--- a/crates/marshal/src/intake.rs
+++ b/crates/marshal/src/intake.rs
@@ -310,7 +310,8 @@
                 Ok(Step::End) => return drain(client, limits, &mut chunk),
                 Err(Malformed(status)) => {
                     count(&intake.book.malformed);
-                    log::debug!("a malformed request, answered {status}");
+                    let came = &part.buffer.bytes()[..part.buffer.bytes().len().min(300)];
+                    log::debug!("a malformed request, answered {status}: {}", came.escape_ascii());
                     if client.begin(false) {
                         relay::word(client, Word::Status(status), false);
                         drain(client, limits, &mut chunk);
--- a/crates/marshal/src/limits.rs
+++ b/crates/marshal/src/limits.rs
@@ -136,7 +136,9 @@
             stack: 96 << 10,
             route_stack: 1 << 20,
             connect: span(transport.connect_timeout.0),
-            client_idle: span(transport.keepalive.0 * 2.0),
+            // The users' page lets a connection go after 2 s. Guards against clients that ask once and stay: they
+            // hold what other clients may have.
+            client_idle: Duration::from_millis(2100),
             client_first: Duration::from_millis(2000),
             first_bytes: Duration::from_millis(200),
             client_read: Duration::from_millis(2500),
--- a/crates/marshal/src/send.rs
+++ b/crates/marshal/src/send.rs
@@ -298,7 +298,14 @@
                 }
                 verdict
             }
-            Err(verdict) => attempt.given_up().unwrap_or(verdict),
+            Err(verdict) => {
+                let given_up = attempt.given_up();
+                if given_up.is_none() {
+                    let came = &buffer.bytes()[..buffer.bytes().len().min(200)];
+                    log::debug!("spoilt by {}: {}", attempt.node.id.0, came.escape_ascii());
+                }
+                given_up.unwrap_or(verdict)
+            }
         }
     }
 
