--- a/crates/decision/src/moments.rs
+++ b/crates/decision/src/moments.rs
@@ -108,6 +108,7 @@
 }
 
 /// A portable source of chance: the same seed, the same rolls.
+#[derive(Debug)]
 pub struct Dice(Pcg64Mcg);
 
 impl Default for Dice {
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -45,8 +45,8 @@
 const SPILL: u32 = 2;
 const FAIL_COST: f64 = 5.0; // how much longer a node that always fails ranks
 const DRAWS: usize = 6; // of a server, before the list is walked
-/// Attempts in a row without an answer that set a node aside, the first such pause, and the share that goes
-/// unanswered everywhere above which none is set aside.
+/// Attempts in a row without an answer that set a node aside (one without a connection does), the first such
+/// pause, and the share that goes unanswered everywhere above which none is set aside.
 const SILENT: u32 = 3;
 const PAUSE: Ms = Ms(1000.0);
 const WIDESPREAD: f64 = 0.2;
@@ -91,7 +91,7 @@
 }
 
 /// One marshal.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct Marshal {
     set: Settings,
     dice: Dice,
@@ -151,9 +151,11 @@
         self.stood = if now > self.now { now - self.now > BEAT * 3.0 } else { self.stood };
         self.now = now;
         match event {
-            Event::Start => out.push(Action::SetAlarm("beat".into(), now + BEAT)),
-            Event::Alarm(_) => {
+            Event::Start | Event::Alarm(_) => {
                 out.push(Action::SetAlarm("beat".into(), now + BEAT));
+                // While no build is on trial nobody else counts them: a long day must not pile them up.
+                let from = now - self.set.exposure_window * 2.0;
+                self.flow.taken.iter_mut().for_each(|lane| drop(lane.trim(from)));
                 self.ask(out);
                 self.judge(out);
                 self.survey();
@@ -461,7 +463,8 @@
         }
         if settled {
             self.flow.met.push(self.now);
-            let moves = self.set.keys_stay && verdict == Verdict::Ok && self.is_newest(build);
+            let mixed = self.set.keys_stay && self.warm[0] < self.warm[1]; // else no earlier build is left
+            let moves = mixed && verdict == Verdict::Ok && self.is_newest(build);
             self.moved.extend(request.key.filter(|_| moves));
         } else if again {
             self.flow.retry_tokens -= 1.0;
@@ -515,7 +518,8 @@
         if unanswered {
             node.silent += 1;
             // When much goes unanswered everywhere it is load: shutting nodes would only crowd the rest.
-            if self.heard.unanswered < WIDESPREAD && (node.silent >= SILENT || verdict != Verdict::Timeout) {
+            // A break may be one spoilt answer; a dead node refuses the next connection at once.
+            if self.heard.unanswered < WIDESPREAD && (node.silent >= SILENT || barred > 0.0) {
                 node.aside_until = now + node.pause;
                 node.pause = (node.pause * 2.0).min(PAUSE * 8.0);
             }
@@ -583,9 +587,7 @@
         }
         let error = f64::from(u8::from(verdict == Verdict::Error));
         self.after[attempt.class.0][usize::from(newest)].add(error, 0.0);
-        if let Some(node) = self.nodes.get_mut(id).filter(|_| error > 0.0) {
-            node.errors += 1;
-        }
+        self.nodes.get_mut(id).into_iter().for_each(|node| node.errors += error as u32);
     }
 
     /// A wrong answer scores 1 in place of its 0.
@@ -706,11 +708,8 @@
                 self.calls.next_call = self.calls.next_call.max(self.now + PAUSE * 0.5);
             }
         }
-        if news.verdict != Verdict::Ok {
-            return;
-        }
         let before = self.news.as_ref().map(|old| (old.build, old.stage, old.phase, old.cap));
-        if before.is_some_and(|(build, ..)| news.build < build) {
+        if news.verdict != Verdict::Ok || before.is_some_and(|(build, ..)| news.build < build) {
             return;
         }
         if let Some((build, _, _, cap)) = before {
@@ -727,6 +726,7 @@
                 for arms in self.after.iter_mut().filter(|arms| kept && arms[1].n > 0.0) {
                     arms[0] = arms[1];
                 }
+                self.condemned.retain(|&old| old >= news.build); // builds never stop being new
             }
         }
         if matches!(news.phase, Phase::Reverting | Phase::Withdrawn) {
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// A server as this marshal knows it.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Node {
     pub entry: NodeEntry,
     pub inflight: u32,
@@ -29,6 +29,7 @@
 }
 
 /// A request that owes its final answer.
+#[derive(Debug)]
 pub(crate) struct Request {
     pub class: ClassId,
     pub key: Option<Key>,
@@ -54,6 +55,7 @@
 pub(crate) type Ended = (NodeId, Verdict, Ms);
 
 /// An attempt that is out.
+#[derive(Debug)]
 pub(crate) struct Attempt {
     pub class: ClassId,
     pub build: Build,
@@ -67,7 +69,7 @@
 }
 
 /// What this marshal holds of the build on trial.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Trial {
     pub sums: Vec<[Sums; 2]>,
     pub looks: usize,
@@ -78,6 +80,7 @@
 }
 
 /// The vote cast last: what, when, and whether it was heard.
+#[derive(Debug)]
 pub(crate) struct Cast {
     pub what: (Build, u32, Vote),
     pub at: Ms,
@@ -85,7 +88,7 @@
 }
 
 /// What answers have told, over all nodes.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Heard {
     /// The earlier build's scores within the covariate's span, by class.
     pub earlier: Vec<VecDeque<(Ms, f64)>>,
@@ -108,7 +111,7 @@
 }
 
 /// Answer times against the dose of the newest build.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Step {
     /// Share of our attempts at the newest build.
     pub dose: f64,
@@ -123,7 +126,7 @@
 }
 
 /// What comes in and goes out.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Flow {
     /// Requests taken and attempts at builds on trial within the window, by class.
     pub taken: Vec<Times>,
@@ -148,7 +151,7 @@
 }
 
 /// Calls to the platform and to discovery.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Calls {
     pub cast: Option<Cast>,
     pub next_call: Ms,
--- a/crates/decision/tests/decisions/rules.rs
+++ b/crates/decision/tests/decisions/rules.rs
@@ -489,3 +489,59 @@
     turn(40.0);
     assert!(turn(40.0) < 15);
 }
+
+/// Guards against shutting sound servers for single spoilt answers: where each now and then breaks one, all would be
+/// set aside most of the time. One without a connection, or that breaks three in a row, is.
+#[test]
+fn a_single_broken_answer_sets_no_server_aside_and_a_refused_connection_does() {
+    for (verdict, times, aside) in
+        [(Verdict::Reset, 1, false), (Verdict::Reset, 3, true), (Verdict::ConnectFailed, 1, true)]
+    {
+        let mut b = Bench::new(settings(), fleet(1, 2), 1);
+        let ok = |_: &NodeId| (Verdict::Ok, 40.0);
+        (0..100).for_each(|_| b.serve(0, ok));
+        let bad = b.ask(2).1;
+        let bad = sent(&bad).unwrap();
+        let mut broken = 0;
+        while broken < times {
+            let (id, out) = b.ask(2);
+            let node = sent(&out).unwrap();
+            let ends = if node == bad { verdict } else { Verdict::Ok };
+            broken += u32::from(node == bad);
+            b.end(&id, 0, &node, ends, 40.0);
+        }
+        let asked = (0..40).filter(|_| {
+            let (id, out) = b.ask(0);
+            let node = sent(&out).unwrap();
+            b.end(&id, 0, &node, Verdict::Ok, 40.0);
+            node == bad
+        });
+        assert_eq!(asked.count() == 0, aside, "{verdict:?} {times}");
+    }
+}
+
+/// Guards against tables that grow as long as a marshal runs: its requests, keys, servers and builds never stop
+/// being new.
+#[test]
+fn what_a_marshal_holds_stays_bounded_on_a_day_without_end() {
+    let mut b = Bench::new(Settings { keys_stay: true, ..settings() }, fleet(1, 3), 1);
+    let mut sizes = Vec::new();
+    for day in 0..40u32 {
+        let build = day + 2;
+        let hosts: Vec<NodeEntry> = (0..3).map(|at| node(&format!("d{day}-{at}"), build)).collect();
+        b.give(Event::Fleet(FleetForm::Replace, hosts));
+        b.give(news(build, 0, Phase::Trial, 0.1));
+        b.give(news(build, 3, if day % 2 == 0 { Phase::Withdrawn } else { Phase::Released }, 1.0));
+        for at in 0..300 {
+            let key = Key(format!("k{day}-{at}").as_str().into());
+            let (id, out) = b.ask_keyed(0, Some(key));
+            if let Some(node) = sent(&out) {
+                b.end(&id, 0, &node, Verdict::Ok, 40.0);
+            }
+            b.pass(100.0);
+        }
+        sizes.push(format!("{:?}", b.marshal).len());
+    }
+    let most = |part: &[usize]| part.iter().max().copied().unwrap();
+    assert!(most(&sizes[20..]) <= most(&sizes[10..20]) + 400, "{sizes:?}");
+}
