--- a/crates/marshal/src/route.rs
+++ b/crates/marshal/src/route.rs
@@ -198,6 +198,11 @@
             Note::Gone(open) => {
                 if open.claim() {
                     count(&self.tools.book.gone);
+                    if let Some(entry) = self.table.get(&open.id) {
+                        let out: Vec<String> = entry.out.iter().map(|(a, _)| a.describe()).collect();
+                        let left = open.deadline.saturating_duration_since(Instant::now());
+                        log::debug!("client left with {left:?} to go, {} copies, out: {out:?}", entry.copies);
+                    }
                     self.finished(&open.id);
                     self.deliver(Event::ClientGone(open.id.clone()));
                 }
--- a/crates/marshal/src/send.rs
+++ b/crates/marshal/src/send.rs
@@ -268,8 +268,10 @@
             None if !left.is_zero() && !attempt.node.leaving.load(SeqCst) => {}
             _ => return Verdict::Moot, // it never began
         }
-        let link = match self.idle(&attempt.node) {
-            Some(link) => link,
+        let idle = self.idle(&attempt.node);
+        let stood = idle.as_ref().map(|(_, stood)| *stood);
+        let link = match idle {
+            Some((link, _)) => link,
             None => match self.connect(&attempt.node, left) {
                 Ok(link) => link,
                 Err(verdict) => return attempt.given_up().unwrap_or(verdict),
@@ -302,7 +304,9 @@
                 let given_up = attempt.given_up();
                 if given_up.is_none() {
                     let came = &buffer.bytes()[..buffer.bytes().len().min(200)];
-                    log::debug!("spoilt by {}: {}", attempt.node.id.0, came.escape_ascii());
+                    let after = attempt.sent.elapsed();
+                    let node = &attempt.node.id.0;
+                    log::debug!("spoilt by {node} after {after:?}, stood {stood:?}: {}", came.escape_ascii());
                 }
                 given_up.unwrap_or(verdict)
             }
@@ -379,7 +383,7 @@
 
     /// An idle connection that is still open, the latest used first; but rather one that has been quiet for a
     /// moment. Guards against bytes that come right behind an answer: they must not pass for the next one's.
-    fn idle(&self, node: &Node) -> Option<Arc<Link>> {
+    fn idle(&self, node: &Node) -> Option<(Arc<Link>, Duration)> {
         loop {
             let (link, since) = {
                 let mut idle = locked(&node.idle);
@@ -395,7 +399,7 @@
             let quiet = link.stream.set_nonblocking(true).is_ok()
                 && matches!(link.stream.peek(&mut [0]), Err(problem) if problem.kind() == io::ErrorKind::WouldBlock);
             if quiet && link.stream.set_nonblocking(false).is_ok() {
-                return Some(link);
+                return Some((link, since.elapsed()));
             }
         }
     }
