Answers above 64 KiB are passed on as they come, up to 16 MiB

The log shows why: answers of 150 to 380 KB with a fitting length, which http.rs took for malformed (413 above 64 KiB), and which all nodes give alike. Ruled out: clients that end their sending only (a probe that went on answering moved nothing), time-outs (0.3% of attempts), workers (30 of 400 used).

--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -155,7 +155,7 @@
                 out.push(Action::SetAlarm("beat".into(), now + BEAT));
                 // While no build is on trial nobody else counts them: a long day must not pile them up.
                 let from = now - self.set.exposure_window * 2.0;
-                self.flow.taken.iter_mut().for_each(|lane| drop(lane.trim(from)));
+                let _ = self.flow.taken.iter_mut().map(|lane| lane.trim(from)).sum::<usize>();
                 self.ask(out);
                 self.judge(out);
                 self.survey();
--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -123,7 +123,7 @@
 impl Caller {
     /// Not connected yet. A list may be longer than any other message: its one buffer is of its own size.
     pub fn new(place: &Arc<Place>, limits: &Limits) -> Caller {
-        let limits = Limits { body: limits.list, ..limits.clone() };
+        let limits = Limits { body: limits.list, answer: limits.list, ..limits.clone() };
         let buffers = Buffers::new(limits.head + limits.list, 1);
         Caller { place: place.clone(), limits, buffers, line: None }
     }
--- a/crates/marshal/src/http.rs
+++ b/crates/marshal/src/http.rs
@@ -99,7 +99,9 @@
                 return Err(Malformed(400));
             }
             match text.parse::<usize>() {
-                Ok(length) if length <= limits.body => Ok(Framing::Length(length)),
+                Ok(length) if length <= if request { limits.body } else { limits.answer } => {
+                    Ok(Framing::Length(length))
+                }
                 _ => Err(Malformed(413)),
             }
         }
--- a/crates/marshal/src/intake.rs
+++ b/crates/marshal/src/intake.rs
@@ -89,6 +89,11 @@
         written.is_ok()
     }
 
+    /// Writes a part of an answer that is not its last.
+    pub fn part_of_answer(&self, bytes: &[u8]) -> bool {
+        relay::write_all(&self.stream, &[bytes]).is_ok()
+    }
+
     /// Wakes the thread that reads after the last answer, so that a client which doesn't close its side holds no
     /// descriptor.
     pub fn hang_up(&self) {
--- a/crates/marshal/src/limits.rs
+++ b/crates/marshal/src/limits.rs
@@ -10,6 +10,8 @@
     pub head: usize,
     /// Longest body of a message.
     pub body: usize,
+    /// Longest answer of a node: above `body` it is passed on as it comes.
+    pub answer: usize,
     /// Longest list of discovery.
     pub list: usize,
     /// Size of every buffer: a head, a body and what frames it.
@@ -119,6 +121,7 @@
         Limits {
             head,
             body,
+            answer: 16 << 20,
             list: 1 << 20,
             // Above the allocator's bar for pages of their own, so that only what is written takes memory.
             buffer: (head + body + (60 << 10)).next_multiple_of(4 << 10),
--- a/crates/marshal/src/relay.rs
+++ b/crates/marshal/src/relay.rs
@@ -36,10 +36,8 @@
     Ok(())
 }
 
-/// Passes a node's answer on; the right to answer must have been claimed.
-pub fn served(open: &Open, head: &Head<'_>, body: &[&[u8]]) -> bool {
-    let size: usize = body.iter().map(|part| part.len()).sum();
-    let keep = open.client.keeps();
+/// The head that goes before a node's answer of some size.
+fn head_text(head: &Head<'_>, size: usize, keep: bool) -> Vec<u8> {
     let mut text = Vec::with_capacity(256);
     text.extend_from_slice(b"HTTP/1.1 200 OK\r\n");
     for (name, value) in head.passed_on() {
@@ -50,6 +48,14 @@
     }
     let close = if keep { "" } else { "Connection: close\r\n" };
     text.extend_from_slice(format!("Content-Length: {size}\r\n{close}\r\n").as_bytes());
+    text
+}
+
+/// Passes a node's answer on; the right to answer must have been claimed.
+pub fn served(open: &Open, head: &Head<'_>, body: &[&[u8]]) -> bool {
+    let size: usize = body.iter().map(|part| part.len()).sum();
+    let keep = open.client.keeps();
+    let text = head_text(head, size, keep);
     let mut parts = Vec::with_capacity(body.len() + 1);
     parts.push(text.as_slice());
     parts.extend_from_slice(body);
@@ -60,6 +66,51 @@
     written
 }
 
+/// An answer too long to be held, on its way to the client. Ends the client's connection where it does not come
+/// to its end, so that the client can tell.
+pub struct Passing<'a> {
+    open: &'a Open,
+    left: usize,
+    keep: bool,
+}
+
+impl<'a> Passing<'a> {
+    /// Writes its head; the right to answer must have been claimed. `None` where the client has gone.
+    pub fn begin(open: &'a Open, head: &Head<'_>, size: usize) -> Option<Passing<'a>> {
+        let passing = Passing { open, left: size, keep: open.client.keeps() };
+        let begun = open.client.part_of_answer(&head_text(head, size, passing.keep));
+        begun.then_some(passing)
+    }
+    /// Bytes that are still to come.
+    pub fn left(&self) -> usize {
+        self.left
+    }
+    /// Writes what has come; false where the client has gone.
+    pub fn put(&mut self, bytes: &[u8]) -> bool {
+        let part = &bytes[..bytes.len().min(self.left)];
+        if part.len() < self.left {
+            let written = self.open.client.part_of_answer(part);
+            self.left -= part.len();
+            return written;
+        }
+        self.left = 0;
+        let written = self.open.client.answer(&[part], self.keep);
+        if !self.keep {
+            self.open.client.hang_up();
+        }
+        written
+    }
+}
+
+impl Drop for Passing<'_> {
+    fn drop(&mut self) {
+        if self.left > 0 {
+            self.open.client.answer(&[], false);
+            self.open.client.hang_up();
+        }
+    }
+}
+
 /// Writes an answer that no node made. Gives whether the connection outlives it.
 pub fn word(client: &Client, word: Word, keep: bool) -> bool {
     let keep = keep && client.keeps();
--- a/crates/marshal/src/route.rs
+++ b/crates/marshal/src/route.rs
@@ -36,6 +36,8 @@
         /// When.
         at: Instant,
     },
+    /// The answer to an attempt is being passed on as it comes.
+    Started(RequestId, u32),
     /// Discovery told something; addresses beside the entries.
     Fleet(FleetForm, Vec<(NodeEntry, SocketAddr)>),
     /// The platform told something.
@@ -207,6 +209,7 @@
                     self.deliver(Event::ClientGone(open.id.clone()));
                 }
             }
+            Note::Started(id, copy) => self.deliver(Event::Started(id, copy)),
             Note::Ended { attempt, verdict, at } => self.ended(&attempt, verdict, at),
             Note::Fleet(form, entries) => self.fleet(form, entries),
             Note::Told(event) => {
@@ -337,6 +340,13 @@
             Due::Alarm(key) => self.deliver(Event::Alarm(key)),
             Due::Vote(number) => self.voted(number, Err(Verdict::Timeout)),
             // Its worker tells the rest. A socket's own time-out may come an eighth later.
+            // An answer that is on its way to the client already has until the client's deadline.
+            Due::Attempt(attempt) if attempt.passes() && when.0 < attempt.open.deadline => {
+                let later = self.set(attempt.open.deadline, Due::Attempt(attempt.clone()));
+                let out = self.table.get_mut(&attempt.open.id).map(|entry| entry.out.iter_mut());
+                let own = out.into_iter().flatten().find(|(other, _)| Arc::ptr_eq(other, &attempt));
+                own.into_iter().for_each(|(_, timer)| *timer = later);
+            }
             Due::Attempt(attempt) => attempt.time_out(),
             Due::Answer(id) => {
                 let Some(entry) = self.table.get_mut(&id).filter(|entry| entry.due == Some(when)) else {
--- a/crates/marshal/src/send.rs
+++ b/crates/marshal/src/send.rs
@@ -5,7 +5,7 @@
 use crate::buffers::{Buffer, Buffers};
 use crate::http::{self, Chunks, Framing};
 use crate::limits::Limits;
-use crate::relay;
+use crate::relay::{self, Passing};
 use crate::route::Note;
 use crate::wire;
 use crossbeam_channel::{bounded, Receiver, Sender};
@@ -90,13 +90,15 @@
     pub until: Instant,
     slot: Mutex<Slot>,
     written: AtomicBool,
+    passing: AtomicBool,
 }
 
 impl Attempt {
     /// One that the module wants.
     pub fn new(open: Arc<Open>, copy: u32, node: Arc<Node>, sent: Instant, until: Instant) -> Attempt {
-        let (slot, written) = (Mutex::new(Slot::Waiting), AtomicBool::new(false));
-        Attempt { open, copy, node, sent, until, slot, written }
+        let (slot, written, passing) =
+            (Mutex::new(Slot::Waiting), AtomicBool::new(false), AtomicBool::new(false));
+        Attempt { open, copy, node, sent, until, slot, written, passing }
     }
 
     /// Stops waiting. What isn't written yet never will be: its connection can't send any more.
@@ -104,6 +106,11 @@
         self.shut(Slot::Cancelled);
     }
 
+    /// Whether its answer is being passed on to the client as it comes.
+    pub fn passes(&self) -> bool {
+        self.passing.load(SeqCst)
+    }
+
     /// The same at its time-out.
     pub fn time_out(&self) {
         self.shut(Slot::Late);
@@ -338,6 +345,12 @@
                 Ok(Some(head)) => {
                     let after = &bytes[head.length..];
                     let (parts, whole, rest) = match head.framing {
+                        Framing::Length(size) if size > limits.body => {
+                            if head.status != 200 {
+                                return Ok((Verdict::Error, false));
+                            }
+                            return self.pass_on(attempt, link, &head, (after, size));
+                        }
                         Framing::Length(size) => {
                             let whole = after.len() >= size;
                             (std::iter::once(0..size).collect(), whole, after.len() > size)
@@ -381,6 +394,53 @@
         }
     }
 
+    /// Passes an answer on as it comes, too long to be held whole. From its first byte on the client has this one
+    /// answer and no other; where it breaks off, the client's connection ends and it can tell.
+    fn pass_on(
+        &self,
+        attempt: &Attempt,
+        link: &Link,
+        head: &http::Head<'_>,
+        (came, size): (&[u8], usize),
+    ) -> Result<(Verdict, bool), Verdict> {
+        if !attempt.open.claim() {
+            return Ok((Verdict::Ok, false));
+        }
+        attempt.passing.store(true, SeqCst);
+        let _ = self.notes.send(Note::Started(attempt.open.id.clone(), attempt.copy)); // it ends only with us
+        let gone = || {
+            count(&self.book.gone);
+            Err(Verdict::Cancelled)
+        };
+        let Some(mut passing) = Passing::begin(&attempt.open, head, size) else { return gone() };
+        if !passing.put(came) {
+            return gone();
+        }
+        let mut buffer = self.buffers.take();
+        while passing.left() > 0 {
+            let read = match (&link.stream).read(buffer.room()) {
+                Ok(read) if read > 0 => read,
+                Err(problem) if problem.kind() == io::ErrorKind::Interrupted => continue,
+                _ => {
+                    count(&self.book.failed);
+                    return Err(Verdict::Reset);
+                }
+            };
+            let rest = read > passing.left();
+            buffer.grow(read);
+            if !passing.put(buffer.bytes()) {
+                return gone();
+            }
+            buffer.cut(0..read);
+            if passing.left() == 0 {
+                count(&self.book.served);
+                return Ok((Verdict::Ok, head.keep && !rest));
+            }
+        }
+        count(&self.book.served);
+        Ok((Verdict::Ok, head.keep && came.len() == size))
+    }
+
     /// An idle connection that is still open, the latest used first; but rather one that has been quiet for a
     /// moment. Guards against bytes that come right behind an answer: they must not pass for the next one's.
     fn idle(&self, node: &Node) -> Option<(Arc<Link>, Duration)> {
--- a/crates/marshal/tests/whole/answers.rs
+++ b/crates/marshal/tests/whole/answers.rs
@@ -244,3 +244,34 @@
     until("the node's connections end", || node.connections() == (2, 2));
     assert!(format!("{}", world.server.book()).contains("defects 0"));
 }
+
+/// Guards against taking a long answer for a spoilt one: it is passed on as it comes, and where it breaks off the
+/// client can tell; its request is not sent again.
+#[test]
+fn an_answer_too_long_to_be_held_is_passed_on_as_it_comes() {
+    let long: Vec<u8> = (0..400_000u32).map(|at| (at % 251) as u8).collect();
+    let body = long.clone();
+    let head = b"HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n";
+    let node = node(move |message| match message.get("X-Labels") {
+        Some("cut") => Reply::RawEnd([head.as_slice(), &body[..300_000]].concat()),
+        Some("more") => Reply::Raw([head.as_slice(), &body, b"HTTP/1.1 200 OK\r\n"].concat()),
+        _ => Reply::Answer(200, body.clone()),
+    });
+    let world = World::of(&[&node]);
+    let mut client = world.client();
+    for _ in 0..3 {
+        client.send(lookup("5000m").as_bytes());
+        assert!(client.answer().body == long);
+    }
+    assert_eq!(node.connections().0, 1);
+    let labelled = |label: &str| lookup("5000m").replace("X-Org: acme", &format!("X-Labels: {label}"));
+    assert!(world.ask(&labelled("more")).body == long);
+    let asked = node.asked().len();
+    let mut cut = world.client();
+    cut.send(labelled("cut").as_bytes());
+    assert!(cut.try_answer().is_none());
+    assert_eq!(node.asked().len(), asked + 1);
+    assert!(world.ask(&lookup("5000m")).body == long);
+    let book = format!("{}", world.server.book());
+    assert!(book.contains("served 5 ") && book.contains("failed 1 ") && book.contains("defects 0"), "{book}");
+}
