--- a/crates/marshal/src/admit.rs
+++ b/crates/marshal/src/admit.rs
@@ -95,7 +95,8 @@
     if !fits {
         return Err(Malformed(413));
     }
-    let open = Open::new(RequestId(Arc::from(id)), client.clone(), message, body_at, began + wait);
+    let mut open = Open::new(RequestId(Arc::from(id)), client.clone(), message, body_at, began + wait);
+    open.once = effect == Effect::AtMostOnce;
     Ok(Admitted {
         open: Arc::new(open),
         class,
--- a/crates/marshal/src/book.rs
+++ b/crates/marshal/src/book.rs
@@ -17,6 +17,8 @@
     pub message: Buffer,
     /// Where the body begins in it.
     pub body_at: usize,
+    /// It must not run twice.
+    pub once: bool,
     /// When the client stops waiting.
     pub deadline: Instant,
     answered: AtomicBool,
@@ -31,7 +33,7 @@
         body_at: usize,
         deadline: Instant,
     ) -> Open {
-        Open { id, client, message, body_at, deadline, answered: AtomicBool::new(false) }
+        Open { id, client, message, body_at, once: false, deadline, answered: AtomicBool::new(false) }
     }
     /// Takes the right to answer; only the first to ask gets it. A client that left takes it too.
     #[must_use]
--- a/crates/marshal/src/limits.rs
+++ b/crates/marshal/src/limits.rs
@@ -60,6 +60,12 @@
     pub linger_bytes: usize,
     /// A request that doesn't leave within this ends the attempt's connection.
     pub node_write: Duration,
+    /// Kept connections that an attempt tries before it makes a new one.
+    pub kept_tries: usize,
+    /// How long the last byte of a request is held, where it is: longer than a round trip to a node.
+    pub hold_last: Duration,
+    /// Share, in thousandths, of kept connections that break before any answer, above which every request's is.
+    pub broken_share: usize,
     /// Interim answers of a node that are read before its answer.
     pub interim: usize,
     /// A connection to a node that was used this lately is used again only where no other stands idle.
@@ -149,6 +155,9 @@
             linger: Duration::from_millis(300),
             linger_bytes: 256 << 10,
             node_write: Duration::from_secs(1),
+            kept_tries: 2,
+            hold_last: Duration::from_millis(1),
+            broken_share: 20,
             interim: 16,
             node_quiet: Duration::from_millis(2),
             node_idle: span(transport.keepalive.0 * 0.8),
--- a/crates/marshal/src/send.rs
+++ b/crates/marshal/src/send.rs
@@ -27,6 +27,15 @@
     open: Arc<AtomicUsize>,
 }
 
+impl Link {
+    /// Whether it stands, as far as can be seen, and nothing has come on it.
+    fn quiet(&self) -> bool {
+        self.stream.set_nonblocking(true).is_ok()
+            && matches!(self.stream.peek(&mut [0]), Err(problem) if problem.kind() == io::ErrorKind::WouldBlock)
+            && self.stream.set_nonblocking(false).is_ok()
+    }
+}
+
 impl Drop for Link {
     fn drop(&mut self) {
         self.open.fetch_sub(1, SeqCst);
@@ -153,6 +162,16 @@
         }
     }
 
+    /// Lets go of a connection on which it was never whole; false where it was given up.
+    fn unbind(&self) -> bool {
+        let mut slot = locked(&self.slot);
+        let out = matches!(*slot, Slot::Out(_));
+        if out {
+            *slot = Slot::Waiting;
+        }
+        out
+    }
+
     /// Binds the attempt to its connection, unless it was given up.
     fn bind(&self, link: &Arc<Link>) -> bool {
         let mut slot = locked(&self.slot);
@@ -188,6 +207,8 @@
     /// Attempts that a worker has, or that wait for one.
     load: AtomicUsize,
     nodes: Mutex<Vec<Weak<Node>>>,
+    /// Running share, in thousandths, of kept connections that broke before any answer.
+    broken: AtomicUsize,
 }
 
 impl Senders {
@@ -203,6 +224,7 @@
             workers: AtomicUsize::new(0),
             load: AtomicUsize::new(0),
             nodes: Mutex::default(),
+            broken: AtomicUsize::new(0),
         }
     }
 
@@ -275,32 +297,41 @@
             None if !left.is_zero() && !attempt.node.leaving.load(SeqCst) => {}
             _ => return Verdict::Moot, // it never began
         }
-        let idle = self.idle(&attempt.node);
-        let stood = idle.as_ref().map(|(_, stood)| *stood);
-        let link = match idle {
-            Some((link, _)) => link,
-            None => match self.connect(&attempt.node, left) {
-                Ok(link) => link,
-                Err(verdict) => return attempt.given_up().unwrap_or(verdict),
-            },
+        let mut kept = self.limits.kept_tries;
+        let (link, stood) = loop {
+            let idle = if kept > 0 { self.idle(&attempt.node) } else { None };
+            let stood = idle.as_ref().map(|(_, stood)| *stood);
+            let link = match idle {
+                Some((link, _)) => link,
+                None => match self.connect(&attempt.node, left) {
+                    Ok(link) => link,
+                    Err(verdict) => return attempt.given_up().unwrap_or(verdict),
+                },
+            };
+            // The list may have changed, and the module its mind, while the connection came up.
+            if attempt.node.leaving.load(SeqCst) {
+                return Verdict::Moot;
+            }
+            if !attempt.bind(&link) {
+                self.put_back(&attempt.node, link);
+                return attempt.given_up().unwrap_or(Verdict::ConnectFailed);
+            }
+            if self.write(attempt, &link).is_ok() {
+                break (link, stood);
+            }
+            // Nothing whole has left: a kept connection that turns out dead is replaced within the attempt. It
+            // tells nothing of the node; a new one that breaks does.
+            kept = kept.saturating_sub(1);
+            if stood.is_none() || !attempt.unbind() {
+                return attempt.given_up().unwrap_or(Verdict::ConnectFailed);
+            }
         };
-        // The list may have changed, and the module its mind, while the connection came up.
-        if attempt.node.leaving.load(SeqCst) {
-            return Verdict::Moot;
-        }
-        if !attempt.bind(&link) {
-            self.put_back(&attempt.node, link);
-            return attempt.given_up().unwrap_or(Verdict::ConnectFailed);
-        }
-        let message = attempt.open.message.bytes();
-        let (head, body) = message.split_at(attempt.open.body_at);
-        let line = wire::remaining_line(attempt.until.saturating_duration_since(Instant::now()));
-        if relay::write_all(&link.stream, &[head, line.as_bytes(), b"\r\n", body]).is_err() {
-            return attempt.given_up().unwrap_or(Verdict::ConnectFailed);
-        }
-        attempt.written.store(true, SeqCst);
         let mut buffer = self.buffers.take();
-        match self.read(attempt, &link, &mut buffer) {
+        let answer = self.read(attempt, &link, &mut buffer);
+        if stood.is_some() {
+            self.reused(answer.is_err() && buffer.bytes().is_empty() && attempt.given_up().is_none());
+        }
+        match answer {
             Ok((verdict, keep)) => {
                 if attempt.release() && keep {
                     self.put_back(&attempt.node, link);
@@ -320,6 +351,41 @@
         }
     }
 
+    /// Writes the request. Guards against connections that the other side has dropped unseen: where a repeat is not
+    /// allowed, or kept connections turn out dead, its last byte is held until what came before it has had time
+    /// to be refused. What breaks before that byte has never run.
+    fn write(&self, attempt: &Attempt, link: &Link) -> io::Result<()> {
+        let message = attempt.open.message.bytes();
+        let (head, body) = message.split_at(attempt.open.body_at);
+        let line = wire::remaining_line(attempt.until.saturating_duration_since(Instant::now()));
+        let end: &[u8] = b"\r\n";
+        let wary = attempt.open.once || self.broken.load(SeqCst) > self.limits.broken_share;
+        if wary {
+            let (end, body, last) = match body.split_last() {
+                Some((last, rest)) => (end, rest, *last),
+                None => (&end[..1], body, b'\n'),
+            };
+            relay::write_all(&link.stream, &[head, line.as_bytes(), end, body])?;
+            std::thread::sleep(self.limits.hold_last);
+            if !link.quiet() {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            relay::write_all(&link.stream, &[&[last]])?;
+        } else {
+            relay::write_all(&link.stream, &[head, line.as_bytes(), end, body])?;
+        }
+        attempt.written.store(true, SeqCst);
+        Ok(())
+    }
+
+    /// Keeps the running share, in thousandths, of kept connections that broke before any answer.
+    fn reused(&self, broke: bool) {
+        let share = self.broken.load(SeqCst);
+        let news = if broke { 1000 } else { 0 };
+        // Another thread's update may get lost between: it is an estimate.
+        self.broken.store((share * 63 + news) / 64, SeqCst);
+    }
+
     /// Reads the answer and passes it on if it is the first. The decision thread ends the wait, by shutting
     /// the connection: a time-out of the socket's own may come an eighth later.
     fn read(&self, attempt: &Attempt, link: &Link, buffer: &mut Buffer) -> Result<(Verdict, bool), Verdict> {
@@ -456,9 +522,7 @@
                 return None;
             }
             // Guards against writing to one that the node has closed: that would end as a reset.
-            let quiet = link.stream.set_nonblocking(true).is_ok()
-                && matches!(link.stream.peek(&mut [0]), Err(problem) if problem.kind() == io::ErrorKind::WouldBlock);
-            if quiet && link.stream.set_nonblocking(false).is_ok() {
+            if link.quiet() {
                 return Some((link, since.elapsed()));
             }
         }
--- a/crates/marshal/tests/whole/answers.rs
+++ b/crates/marshal/tests/whole/answers.rs
@@ -3,7 +3,8 @@
 use crate::support::*;
 use milletwing_toy::discovery::Host;
 use milletwing_toy::node::Reply;
-use std::net::Shutdown;
+use milletwing_toy::read_message;
+use std::net::{Shutdown, TcpListener};
 use std::time::Duration;
 
 #[test]
@@ -275,3 +276,34 @@
     let book = format!("{}", world.server.book());
     assert!(book.contains("served 5 ") && book.contains("failed 1 ") && book.contains("defects 0"), "{book}");
 }
+
+/// Guards against failing a request that must not run twice for a kept connection which its node drops at the next
+/// request: nothing whole has left by then, so a new connection takes it.
+#[test]
+fn a_kept_connection_that_breaks_at_the_next_request_costs_no_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                if read_message(&stream, &mut Vec::new()).is_ok_and(|message| message.is_some()) {
+                    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+                    let _ = std::io::Write::write_all(&mut &stream, answer); // the marshal may have ended
+                    let _ = stream.peek(&mut [0]); // dropped with bytes unread: reset
+                }
+            });
+        }
+    });
+    let hosts = [Host::new("n0", addr, 1)];
+    let world = World::hosts(
+        &hosts,
+        "1 2 live 1 60000",
+        |_| None,
+        |limits| {
+            limits.hold_last = std::time::Duration::from_millis(100);
+        },
+    );
+    for _ in 0..6 {
+        assert_eq!(world.ask(&pay("5000m")).word(1), "200");
+    }
+}
