--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -206,8 +206,8 @@
         if class.late_worth < 0.5 && (keyed_apart || class.effect == Effect::AtMostOnce) {
             until = until.min(request.aim);
         }
-        // Leave room for a second try where the class allows one.
-        let split = Ms((class.aim.0 * 0.5).max(SLOW_MEANS * self.heard.mean.value));
+        // Leave room for a second try where the class allows one; five means outlast 99% of its like.
+        let split = Ms((class.aim.0 * 0.5).max(5.0 * self.heard.mean.value));
         let repeatable = class.effect != Effect::AtMostOnce && self.flow.retry_tokens >= 1.0;
         if repeatable && request.tries == 0 && split.0 < class.aim.0 * 0.75 {
             until = until.min(self.now + split);
--- a/crates/marshal/src/admit.rs
+++ b/crates/marshal/src/admit.rs
@@ -43,13 +43,13 @@
     Err(Malformed(400))
 }
 
-/// Reads one request. `began` is when its first byte was there: the client's wait has run since then at least.
+/// Reads one request. `came` is when its last byte was there: from then on its time counts, however slowly it came.
 pub fn admit(
     gate: &Gate,
     head: &Head<'_>,
     body: &[&[u8]],
     client: &Arc<Client>,
-    began: Instant,
+    came: Instant,
 ) -> Result<Admitted, Malformed> {
     let id = head.get(wire::ID).unwrap_or("");
     if id.is_empty() || id.len() > gate.limits.id || !id.bytes().all(|b| b.is_ascii_graphic()) {
@@ -95,7 +95,7 @@
     if !fits {
         return Err(Malformed(413));
     }
-    let mut open = Open::new(RequestId(Arc::from(id)), client.clone(), message, body_at, began + wait);
+    let mut open = Open::new(RequestId(Arc::from(id)), client.clone(), message, body_at, came + wait);
     open.once = effect == Effect::AtMostOnce;
     Ok(Admitted {
         open: Arc::new(open),
--- a/crates/marshal/src/intake.rs
+++ b/crates/marshal/src/intake.rs
@@ -478,7 +478,7 @@
             return Ok(Step::End);
         } else {
             let body: Vec<&[u8]> = parts.iter().map(|part| &after[part.clone()]).collect();
-            let admitted = admit(&intake.gate, &head, &body, client, self.began)?;
+            let admitted = admit(&intake.gate, &head, &body, client, Instant::now())?;
             client.standing().proven = true;
             if !client.begin(head.keep) {
                 return Ok(Step::End);
--- a/crates/marshal/src/limits.rs
+++ b/crates/marshal/src/limits.rs
@@ -66,6 +66,9 @@
     pub hold_last: Duration,
     /// Share, in thousandths, of kept connections that break before any answer, above which every request's is.
     pub broken_share: usize,
+    /// Share, in thousandths, of connections kept for as long that break before any answer, above which none is kept
+    /// for so long.
+    pub worn_share: usize,
     /// Interim answers of a node that are read before its answer.
     pub interim: usize,
     /// A connection to a node that was used this lately is used again only where no other stands idle.
@@ -158,6 +161,7 @@
             kept_tries: 2,
             hold_last: Duration::from_millis(1),
             broken_share: 20,
+            worn_share: 150,
             interim: 16,
             node_quiet: Duration::from_millis(2),
             node_idle: span(transport.keepalive.0 * 0.8),
--- a/crates/marshal/src/relay.rs
+++ b/crates/marshal/src/relay.rs
@@ -8,6 +8,7 @@
 use milletwing_decision::interface::Ms;
 use std::io::{self, IoSlice, Write};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// An answer that no node made.
 #[derive(Clone, Copy, Debug)]
@@ -72,12 +73,13 @@
     open: &'a Open,
     left: usize,
     keep: bool,
+    writing: Duration,
 }
 
 impl<'a> Passing<'a> {
     /// Writes its head; the right to answer must have been claimed. `None` where the client has gone.
     pub fn begin(open: &'a Open, head: &Head<'_>, size: usize) -> Option<Passing<'a>> {
-        let passing = Passing { open, left: size, keep: open.client.keeps() };
+        let passing = Passing { open, left: size, keep: open.client.keeps(), writing: Duration::ZERO };
         let begun = open.client.part_of_answer(&head_text(head, size, passing.keep));
         begun.then_some(passing)
     }
@@ -85,8 +87,18 @@
     pub fn left(&self) -> usize {
         self.left
     }
+    /// Time that the client took to take what was written.
+    pub fn writing(&self) -> Duration {
+        self.writing
+    }
     /// Writes what has come; false where the client has gone.
     pub fn put(&mut self, bytes: &[u8]) -> bool {
+        let from = Instant::now();
+        let written = self.write(bytes);
+        self.writing += from.elapsed();
+        written
+    }
+    fn write(&mut self, bytes: &[u8]) -> bool {
         let part = &bytes[..bytes.len().min(self.left)];
         if part.len() < self.left {
             let written = self.open.client.part_of_answer(part);
--- a/crates/marshal/src/route.rs
+++ b/crates/marshal/src/route.rs
@@ -366,7 +366,10 @@
                 }
             }
             Due::Sweep => {
-                self.nodes.values().for_each(|node| node.sweep(self.tools.limits.node_idle));
+                let limits = &self.tools.limits;
+                let longest = limits.node_idle.min(self.tools.senders.wear.longest(limits));
+                self.nodes.values().for_each(|node| node.sweep(longest));
+                self.tools.senders.wear.ease();
                 self.set(when.0 + self.tools.limits.sweep, Due::Sweep);
             }
             Due::Report => {
--- a/crates/marshal/src/send.rs
+++ b/crates/marshal/src/send.rs
@@ -14,7 +14,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::SeqCst};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak};
 use std::time::{Duration, Instant};
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -100,6 +100,7 @@
     slot: Mutex<Slot>,
     written: AtomicBool,
     passing: AtomicBool,
+    heard: OnceLock<Instant>,
 }
 
 impl Attempt {
@@ -107,7 +108,7 @@
     pub fn new(open: Arc<Open>, copy: u32, node: Arc<Node>, sent: Instant, until: Instant) -> Attempt {
         let (slot, written, passing) =
             (Mutex::new(Slot::Waiting), AtomicBool::new(false), AtomicBool::new(false));
-        Attempt { open, copy, node, sent, until, slot, written, passing }
+        Attempt { open, copy, node, sent, until, slot, written, passing, heard: OnceLock::new() }
     }
 
     /// Stops waiting. What isn't written yet never will be: its connection can't send any more.
@@ -191,6 +192,53 @@
     }
 }
 
+/// How kept connections fare by the time that they stood idle, in bands of doubling length: in each the running
+/// share, in thousandths, of those that broke before any answer. Guards against sides that let go of connections
+/// sooner than they say, and say nothing when they do.
+#[derive(Default)]
+pub struct Wear {
+    bands: [AtomicUsize; 8],
+    all: AtomicUsize,
+}
+
+impl Wear {
+    /// The end of the first band.
+    const FIRST: Duration = Duration::from_millis(50);
+
+    fn note(share: &AtomicUsize, broke: bool, of: usize) {
+        let news = if broke { 1000 } else { 0 };
+        // Another thread's update may get lost between: it is an estimate.
+        share.store((share.load(SeqCst) * (of - 1) + news) / of, SeqCst);
+    }
+
+    /// One was used again.
+    pub fn reused(&self, stood: Duration, broke: bool) {
+        let band = (0..7).take_while(|&at| stood >= Wear::FIRST * (1 << at)).count();
+        Wear::note(&self.bands[band], broke, 16);
+        Wear::note(&self.all, broke, 64);
+    }
+
+    /// The share of all.
+    pub fn all(&self) -> usize {
+        self.all.load(SeqCst)
+    }
+
+    /// For how long one may have stood: to the first band in which far more break than in the youngest.
+    pub fn longest(&self, limits: &Limits) -> Duration {
+        let share = |band: usize| self.bands[band].load(SeqCst);
+        let worn = |band: &usize| share(*band) > limits.worn_share.max(share(0) * 3);
+        (1..8).find(worn).map_or(Duration::MAX, |band| Wear::FIRST * (1 << (band - 1)))
+    }
+
+    /// Forgets a little, so that what is not used any more is tried again some day.
+    pub fn ease(&self) {
+        for share in &self.bands {
+            let now = share.load(SeqCst);
+            share.store(now - now.div_ceil(32), SeqCst);
+        }
+    }
+}
+
 /// What the workers share.
 pub struct Senders {
     /// The limits.
@@ -207,8 +255,8 @@
     /// Attempts that a worker has, or that wait for one.
     load: AtomicUsize,
     nodes: Mutex<Vec<Weak<Node>>>,
-    /// Running share, in thousandths, of kept connections that broke before any answer.
-    broken: AtomicUsize,
+    /// How kept connections fare.
+    pub wear: Wear,
 }
 
 impl Senders {
@@ -224,7 +272,7 @@
             workers: AtomicUsize::new(0),
             load: AtomicUsize::new(0),
             nodes: Mutex::default(),
-            broken: AtomicUsize::new(0),
+            wear: Wear::default(),
         }
     }
 
@@ -286,7 +334,9 @@
             }
         });
         attempt.release();
-        let note = Note::Ended { attempt: attempt.clone(), verdict, at: Instant::now() };
+        // Guards against taking a client that reads slowly for a slow node: the answer's time is when it came.
+        let at = attempt.heard.get().copied().unwrap_or_else(Instant::now);
+        let note = Note::Ended { attempt: attempt.clone(), verdict, at };
         let _ = self.notes.send(note); // it ends only with us
     }
 
@@ -328,8 +378,9 @@
         };
         let mut buffer = self.buffers.take();
         let answer = self.read(attempt, &link, &mut buffer);
-        if stood.is_some() {
-            self.reused(answer.is_err() && buffer.bytes().is_empty() && attempt.given_up().is_none());
+        if let Some(stood) = stood {
+            let broke = answer.is_err() && buffer.bytes().is_empty() && attempt.given_up().is_none();
+            self.wear.reused(stood, broke);
         }
         match answer {
             Ok((verdict, keep)) => {
@@ -359,7 +410,7 @@
         let (head, body) = message.split_at(attempt.open.body_at);
         let line = wire::remaining_line(attempt.until.saturating_duration_since(Instant::now()));
         let end: &[u8] = b"\r\n";
-        let wary = attempt.open.once || self.broken.load(SeqCst) > self.limits.broken_share;
+        let wary = attempt.open.once || self.wear.all() > self.limits.broken_share;
         if wary {
             let (end, body, last) = match body.split_last() {
                 Some((last, rest)) => (end, rest, *last),
@@ -378,14 +429,6 @@
         Ok(())
     }
 
-    /// Keeps the running share, in thousandths, of kept connections that broke before any answer.
-    fn reused(&self, broke: bool) {
-        let share = self.broken.load(SeqCst);
-        let news = if broke { 1000 } else { 0 };
-        // Another thread's update may get lost between: it is an estimate.
-        self.broken.store((share * 63 + news) / 64, SeqCst);
-    }
-
     /// Reads the answer and passes it on if it is the first. The decision thread ends the wait, by shutting
     /// the connection: a time-out of the socket's own may come an eighth later.
     fn read(&self, attempt: &Attempt, link: &Link, buffer: &mut Buffer) -> Result<(Verdict, bool), Verdict> {
@@ -440,6 +483,7 @@
                     503 | 504 if turned => Verdict::Full,
                     _ => Verdict::Error,
                 };
+                attempt.heard.get_or_init(Instant::now);
                 if verdict == Verdict::Ok && attempt.open.claim() {
                     let body: Vec<&[u8]> = parts.iter().map(|part| &after[part.clone()]).collect();
                     let written = relay::served(&attempt.open, &head, &body);
@@ -473,10 +517,12 @@
             return Ok((Verdict::Ok, false));
         }
         attempt.passing.store(true, SeqCst);
+        let began = *attempt.heard.get_or_init(Instant::now);
         let _ = self.notes.send(Note::Started(attempt.open.id.clone(), attempt.copy)); // it ends only with us
+                                                                                       // From here on the verdict is the node's or the client's, whoever ended the wait.
         let gone = || {
             count(&self.book.gone);
-            Err(Verdict::Cancelled)
+            Ok((Verdict::Cancelled, false))
         };
         let Some(mut passing) = Passing::begin(&attempt.open, head, size) else { return gone() };
         if !passing.put(came) {
@@ -487,6 +533,8 @@
             let read = match (&link.stream).read(buffer.room()) {
                 Ok(read) if read > 0 => read,
                 Err(problem) if problem.kind() == io::ErrorKind::Interrupted => continue,
+                // Most of the time went into a client that reads slowly: nothing is told of the node.
+                _ if passing.writing() > began.elapsed() / 2 => return gone(),
                 _ => {
                     count(&self.book.failed);
                     return Err(Verdict::Reset);
@@ -517,8 +565,9 @@
                 let at = quiet.or(idle.len().checked_sub(1))?;
                 idle.remove(at)
             };
-            if since.elapsed() >= self.limits.node_idle {
-                locked(&node.idle).clear(); // the others are older still
+            let longest = self.limits.node_idle.min(self.wear.longest(&self.limits));
+            if since.elapsed() >= longest {
+                locked(&node.idle).retain(|(_, since)| since.elapsed() < longest);
                 return None;
             }
             // Guards against writing to one that the node has closed: that would end as a reset.
--- a/crates/marshal/tests/sending.rs
+++ b/crates/marshal/tests/sending.rs
@@ -8,7 +8,7 @@
 use milletwing_marshal::intake::Client;
 use milletwing_marshal::limits::{Grant, Limits};
 use milletwing_marshal::route::Note;
-use milletwing_marshal::send::{Attempt, Node, Senders};
+use milletwing_marshal::send::{Attempt, Node, Senders, Wear};
 use milletwing_profile::Transport;
 use milletwing_toy::node::{Node as Toy, Reply};
 use std::io::Read;
@@ -144,3 +144,61 @@
     line.client.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
     assert!(!matches!((&line.client).read(&mut [0]), Ok(1)));
 }
+
+/// Guards against taking a client that reads slowly for a slow node: an answer's time is when it came, and a long one
+/// that its client does not take ends as the client's, not as the node's time-out.
+#[test]
+fn a_client_that_reads_slowly_makes_no_node_slow() {
+    let line = line();
+    let (_toy, node) = toy(|| Reply::Answer(200, vec![b'x'; 8 << 20]));
+    let attempt = line.attempt(&node, 20_000);
+    assert!(line.senders.hand(attempt.clone()));
+    assert!(matches!(line.notes.recv_timeout(Duration::from_secs(20)), Ok(Note::Started(..))));
+    let reads_from = Instant::now();
+    let mut client = line.client.try_clone().unwrap();
+    let reader = std::thread::spawn(move || {
+        let (mut chunk, mut all) = (vec![0; 64 << 10], 0);
+        while all < 8 << 20 {
+            match client.read(&mut chunk) {
+                Ok(read) if read > 0 => all += read,
+                _ => break,
+            }
+        }
+        all
+    });
+    match line.notes.recv_timeout(Duration::from_secs(20)) {
+        Ok(Note::Ended { verdict: Verdict::Ok, at, .. }) => assert!(at < reads_from),
+        _ => panic!("no end"),
+    }
+    assert!(reader.join().unwrap() >= 8 << 20);
+    // One that is given up while its client takes nothing, and then leaves.
+    let attempt = line.attempt(&node, 20_000);
+    let Line { senders, notes, client, .. } = line;
+    assert!(senders.hand(attempt.clone()));
+    assert!(matches!(notes.recv_timeout(Duration::from_secs(20)), Ok(Note::Started(..))));
+    attempt.time_out();
+    drop(client);
+    let end = notes.recv_timeout(Duration::from_secs(20));
+    assert!(matches!(end, Ok(Note::Ended { verdict: Verdict::Cancelled | Verdict::Timeout, .. })));
+}
+
+/// Guards against connections that the other side lets go of sooner than it says: those that stood for long break,
+/// younger ones don't; what is never used again is forgotten and tried once more.
+#[test]
+fn connections_that_break_after_standing_for_long_are_kept_for_less() {
+    let limits = line().senders.limits.clone();
+    let wear = Wear::default();
+    let (young, old) = (Duration::from_millis(20), Duration::from_millis(250));
+    for at in 0..40 {
+        wear.reused(young, at % 20 == 0);
+        wear.reused(old, false);
+    }
+    assert_eq!(wear.longest(&limits), Duration::MAX);
+    (0..16).for_each(|at| wear.reused(old, at % 2 == 0));
+    assert_eq!(wear.longest(&limits), Duration::from_millis(200));
+    (0..100).for_each(|_| wear.ease());
+    assert_eq!(wear.longest(&limits), Duration::MAX);
+    // Where the youngest break as often, standing is not the cause.
+    (0..40).for_each(|_| (wear.reused(young, true), wear.reused(old, true)).0);
+    assert_eq!(wear.longest(&limits), Duration::MAX);
+}
