--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -45,8 +45,7 @@
 const SPILL: u32 = 2;
 const FAIL_COST: f64 = 5.0; // how much longer a node that always fails ranks
 const DRAWS: usize = 6; // of a server, before the list is walked
-/// Attempts in a row without an answer that set a node aside (one without a connection does), the first such
-/// pause, and the share that goes unanswered everywhere above which none is set aside.
+/// Attempts in a row without an answer that set a node aside, its first pause, and the bar of what is load.
 const SILENT: u32 = 3;
 const PAUSE: Ms = Ms(1000.0);
 const WIDESPREAD: f64 = 0.2;
@@ -54,6 +53,7 @@
 const PATIENCE: f64 = 0.8;
 /// Further attempts earned by each request: bounds what retries add under overload.
 const RETRY_SHARE: f64 = 0.1;
+const RETRY_CALM: f64 = 0.2; // what one costs after a break, while fewer answers than that come late
 const RETRY_MOST: f64 = 10.0;
 /// After this long a stage's news has settled: answer times are calm again.
 const SETTLED: Ms = Ms(10000.0);
@@ -154,8 +154,7 @@
             Event::Start | Event::Alarm(_) => {
                 out.push(Action::SetAlarm("beat".into(), now + BEAT));
                 // While no build is on trial nobody else counts them: a long day must not pile them up.
-                let from = now - self.set.exposure_window * 2.0;
-                let _ = self.flow.taken.iter_mut().map(|lane| lane.trim(from)).sum::<usize>();
+                self.flow.taken.iter_mut().fold(0, |n, lane| n + lane.trim(now - self.set.exposure_window));
                 self.ask(out);
                 self.judge(out);
                 self.survey();
@@ -206,8 +205,10 @@
         if class.late_worth < 0.5 && (keyed_apart || class.effect == Effect::AtMostOnce) {
             until = until.min(request.aim);
         }
-        // Leave room for a second try where the class allows one; five means outlast 99% of its like.
-        let split = Ms((class.aim.0 * 0.5).max(5.0 * self.heard.mean.value));
+        // Room for a second try where the class allows one; cuts are evidence, so as rare on any kind.
+        let like = (request.class, self.nodes[&node].entry.kind);
+        let mean = self.heard.means.get(&like).map_or(self.heard.mean.value, |mean| mean.value);
+        let split = Ms((class.aim.0 * 0.5).max(5.0 * mean));
         let repeatable = class.effect != Effect::AtMostOnce && self.flow.retry_tokens >= 1.0;
         if repeatable && request.tries == 0 && split.0 < class.aim.0 * 0.75 {
             until = until.min(self.now + split);
@@ -467,7 +468,8 @@
             let moves = mixed && verdict == Verdict::Ok && self.is_newest(build);
             self.moved.extend(request.key.filter(|_| moves));
         } else if again {
-            self.flow.retry_tokens -= 1.0;
+            let broken = verdict == Verdict::Reset && self.step.missed < RETRY_SHARE;
+            self.flow.retry_tokens -= if broken { RETRY_CALM } else { 1.0 };
             self.send(id, request, out);
         } else {
             self.give_up(id, &request, out);
@@ -482,9 +484,8 @@
             (Effect::AtMostOnce, Some(_)) => false,
             (Effect::Deduplicated, Some((_, _, sent))) => self.now + self.set.tick < *sent + class.memory,
         };
-        let left = request.aim.min(request.deadline) - self.now;
         let paid = self.flow.retry_tokens >= 1.0 && request.tries < self.set.try_limit;
-        allowed && paid && left.0 > self.heard.mean.value
+        allowed && paid && (request.aim.min(request.deadline) - self.now).0 > self.heard.mean.value
     }
 
     /// Running means of a node. Attempts in a row without any answer set it aside, ever longer.
@@ -694,9 +695,8 @@
         }
         let gap = 1000.0 * f64::from(self.set.marshals) / self.set.calls_per_s.max(0.1);
         self.calls.next_call = self.now + Ms(gap).max(BEAT);
-        let (build, stage) = (news.build, news.stage);
-        self.calls.cast = Some(Cast { what: (build, stage, vote), at: self.now, answered: false });
-        out.push(Action::Cast { build, stage, vote });
+        self.calls.cast = Some(Cast { what: (news.build, news.stage, vote), at: self.now, answered: false });
+        out.push(Action::Cast { build: news.build, stage: news.stage, vote });
     }
 
     /// News of the newest build, or the answer to a vote.
--- a/crates/decision/tests/decisions/rules.rs
+++ b/crates/decision/tests/decisions/rules.rs
@@ -545,3 +545,30 @@
     let most = |part: &[usize]| part.iter().max().copied().unwrap();
     assert!(most(&sizes[20..]) <= most(&sizes[10..20]) + 400, "{sizes:?}");
 }
+
+/// Guards against a budget for overload that binds where nothing is late: answers that break all over cost a second
+/// attempt each; servers that are full, as under overload, are asked no more than a tenth again.
+#[test]
+fn breaks_without_lateness_may_each_be_tried_again() {
+    for (end, least, most) in [(Verdict::Reset, 0.35, 0.45), (Verdict::Full, 0.05, 0.15)] {
+        let mut b = Bench::new(settings(), fleet(1, 6), 1);
+        let (mut requests, mut attempts) = (0, 0);
+        for at in 0..1500 {
+            b.pass(20.0);
+            let (id, mut out) = b.ask(0);
+            let mut copy = 0;
+            requests += 1;
+            while let Some(node) = sent(&out) {
+                attempts += 1;
+                let broken = copy == 0 && at % 5 < 2;
+                out = b.end(&id, copy, &node, if broken { end } else { Verdict::Ok }, 30.0);
+                copy += 1;
+                if !broken {
+                    break;
+                }
+            }
+        }
+        let more = f64::from(attempts - requests) / f64::from(requests);
+        assert!(more > least && more < most, "{end:?}: {more}");
+    }
+}
--- a/crates/marshal/src/admit.rs
+++ b/crates/marshal/src/admit.rs
@@ -61,7 +61,8 @@
     let effect = gate.settings.classes[class.0].effect;
     // The class decides the method; another one would promise nodes what the class doesn't.
     let fits = match effect {
-        Effect::Idempotent => head.method == "GET",
+        // One with a body is doubtful: not all machines read a body there.
+        Effect::Idempotent => head.method == "GET" && body.iter().all(|part| part.is_empty()),
         Effect::Deduplicated => head.method == "POST" && head.get("Idempotency-Key").is_some(),
         Effect::AtMostOnce => head.method == "POST",
     };
--- a/crates/marshal/src/http.rs
+++ b/crates/marshal/src/http.rs
@@ -128,6 +128,11 @@
     let mut room = [httparse::EMPTY_HEADER; HEADERS];
     let mut parsed = httparse::Request::new(&mut room);
     let Some(length) = head_length(parsed.parse(bytes), bytes.len(), limits)? else { return Ok(None) };
+    // Guards against lines that another machine may end elsewhere: one strict reading, or none.
+    let lines = bytes[..length].iter().zip(bytes[..length].iter().skip(1));
+    if bytes[0] == b'\n' || lines.clone().any(|(before, byte)| *byte == b'\n' && *before != b'\r') {
+        return Err(Malformed(400));
+    }
     let headers: Vec<_> = parsed.headers.iter().map(|header| (header.name, header.value)).collect();
     let framing = framing(&headers, limits, true)?;
     let newer = parsed.version == Some(1);
@@ -172,7 +177,9 @@
             let Some(end) = rest.iter().position(|&b| b == b'\n') else {
                 return if rest.len() > 256 { Err(Malformed(400)) } else { Ok(None) };
             };
-            let line = rest[..end].trim_ascii();
+            // Guards, as in heads, against lines that another machine may end elsewhere.
+            let Some(line) = rest[..end].strip_suffix(b"\r") else { return Err(Malformed(400)) };
+            let line = line.trim_ascii();
             if self.trailer {
                 self.at += end + 1;
                 if line.is_empty() {
@@ -196,15 +203,14 @@
             let start = self.at + end + 1;
             // The chunk, and the line end behind it, must be there whole.
             let Some(after) = bytes.get(start + size..) else { return Ok(None) };
-            let skip = match after {
-                [b'\n', ..] => 1,
-                [b'\r', b'\n', ..] => 2,
+            match after {
+                [b'\r', b'\n', ..] => {}
                 [] | [b'\r'] => return Ok(None),
                 _ => return Err(Malformed(400)),
-            };
+            }
             self.parts.push(start..start + size);
             self.size += size;
-            self.at = start + size + skip;
+            self.at = start + size + 2;
         }
     }
 }
--- a/crates/marshal/src/intake.rs
+++ b/crates/marshal/src/intake.rs
@@ -202,9 +202,10 @@
     }
     /// Ends one for another's sake: those that never sent a whole request before usual clients, and among them the
     /// one that has stood so for longest.
-    pub fn make_room(&self, first_bytes: Duration) -> bool {
+    pub fn make_room(&self, first_bytes: Duration, stood: Duration) -> bool {
         let all = self.all();
         let idle = all.values().filter_map(|client| Some((client.gives_way(first_bytes)?, client)));
+        let idle = idle.filter(|((_, since), _)| since.elapsed() >= stood);
         let first = idle.min_by_key(|(order, _)| *order);
         first.is_some_and(|(_, client)| {
             client.give_way();
@@ -252,7 +253,7 @@
             Err(problem) => {
                 // Out of descriptors, or a connection that broke while it waited: neither ends the marshal.
                 log::warn!("accepting: {problem}");
-                intake.clients.make_room(limits.first_bytes);
+                intake.clients.make_room(limits.first_bytes, Duration::ZERO);
                 std::thread::sleep(limits.accept_pause);
             }
         }
@@ -270,10 +271,14 @@
     }
     let number = intake.clients.next.fetch_add(1, Relaxed);
     let client = Arc::new(Client::new(stream, intake.stopping.clone()));
+    // Guards against connections that asked once and stay: what they hold, clients can't use for new ones.
+    if intake.clients.len() >= limits.crowd {
+        intake.clients.make_room(limits.first_bytes, limits.crowd_idle);
+    }
     // Below the limit nobody is counted one by one: that would cost each accept a look at all connections.
     let room = intake.clients.len() < limits.clients
         || intake.clients.staying() < limits.clients
-        || intake.clients.make_room(limits.first_bytes);
+        || intake.clients.make_room(limits.first_bytes, Duration::ZERO);
     client.standing().over = !room;
     intake.clients.all().insert(number, client.clone());
     let shared = intake.clone();
--- a/crates/marshal/tests/whole/bad_input.rs
+++ b/crates/marshal/tests/whole/bad_input.rs
@@ -86,6 +86,19 @@
             request(&format!("GET /api HTTP/1.1\r\n{good}\r\nTransfer-Encoding: chunked")) + "fffffff\r\n",
             "413",
         ),
+        ("a line that ends in a bare line feed", format!("GET /api HTTP/1.1\r\n{good}\nA: b\r\n\r\n"), "400"),
+        ("a head that ends in bare line feeds", format!("GET /api HTTP/1.1\r\n{good}\n\n"), "400"),
+        ("a folded line", request(&format!("GET /api HTTP/1.1\r\n{good}\r\nA: b\r\n c")), "400"),
+        (
+            "chunks set off by bare line feeds",
+            request(&format!("GET /api HTTP/1.1\r\n{good}\r\nTransfer-Encoding: chunked")) + "0\n\n",
+            "400",
+        ),
+        (
+            "a body where there is none",
+            request(&format!("GET /api HTTP/1.1\r\n{good}\r\nContent-Length: 2")) + "ab",
+            "400",
+        ),
         ("too long a head", request(&format!("GET /api HTTP/1.1\r\n{good}\r\nA: {long}")), "431"),
         ("a head without an end", format!("GET /api HTTP/1.1\r\nA: {long}{long}"), "431"),
         ("too many headers", request(&format!("GET /api HTTP/1.1\r\n{good}\r\n{many}A: b")), "431"),
@@ -260,6 +273,24 @@
     (0..3).for_each(|at| assert_eq!(ask(at), "200"));
 }
 
+/// Guards against clients that ask once and keep the connection: others find room before the limit is reached.
+#[test]
+fn in_a_crowd_idle_connections_give_way_to_new_ones() {
+    let node = serving("ok");
+    let world = World::with(&[&node], |limits| {
+        (limits.crowd, limits.crowd_idle) = (4, std::time::Duration::ZERO);
+        limits.client_idle = std::time::Duration::from_secs(3600);
+    });
+    let mut stayed = Vec::new();
+    for _ in 0..20 {
+        let mut client = world.client();
+        client.send(lookup("5000m").as_bytes());
+        assert_eq!(client.answer().word(1), "200");
+        stayed.push(client);
+    }
+    until("few are held", || world.server.clients() <= 5);
+}
+
 /// Guards against reading a body without end that nobody wants: the answer comes at once, and then the end.
 #[test]
 fn a_body_far_too_long_is_answered_at_once_and_not_read_to_its_end() {
