--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -206,9 +206,9 @@
             until = until.min(request.aim);
         }
         // Room for a second try where the class allows one; cuts are evidence, so as rare on any kind.
-        let like = (request.class, self.nodes[&node].entry.kind);
-        let mean = self.heard.means.get(&like).map_or(self.heard.mean.value, |mean| mean.value);
-        let split = Ms((class.aim.0 * 0.5).max(5.0 * mean));
+        let like = self.heard.means.get(&(request.class, self.nodes[&node].entry.kind));
+        let calm = like.filter(|_| self.step.missed < RETRY_SHARE).map(|mean| mean.value * 5.0);
+        let split = Ms((class.aim.0 * 0.5).max(calm.unwrap_or(SLOW_MEANS * self.heard.mean.value)));
         let repeatable = class.effect != Effect::AtMostOnce && self.flow.retry_tokens >= 1.0;
         if repeatable && request.tries == 0 && split.0 < class.aim.0 * 0.75 {
             until = until.min(self.now + split);
--- a/crates/marshal/src/intake.rs
+++ b/crates/marshal/src/intake.rs
@@ -222,7 +222,11 @@
             return 0;
         }
         let idle = all.values().filter_map(|client| Some((client.gives_way(limits.first_bytes)?, client)));
-        let mut idle: Vec<_> = idle.filter(|((_, since), _)| since.elapsed() >= limits.crowd_idle).collect();
+        let stood = |(order, since): &(u8, Instant)| {
+            // Who has just connected is about to ask.
+            since.elapsed() >= if *order < 2 { limits.first_bytes } else { limits.crowd_idle }
+        };
+        let mut idle: Vec<_> = idle.filter(|(order, _)| stood(order)).collect();
         idle.sort_by_key(|(order, _)| *order);
         idle.iter().take(many).for_each(|(_, client)| client.give_way());
         many.min(idle.len())
--- a/crates/marshal/tests/whole/bad_input.rs
+++ b/crates/marshal/tests/whole/bad_input.rs
@@ -279,6 +279,7 @@
     let node = serving("ok");
     let world = World::with(&[&node], |limits| {
         (limits.crowd, limits.crowd_idle) = (4, std::time::Duration::ZERO);
+        limits.first_bytes = std::time::Duration::from_secs(3600);
         limits.crowd_look = std::time::Duration::from_millis(5);
         limits.client_idle = std::time::Duration::from_secs(3600);
     });
