A marshal at rest holds one sending thread, more only as attempts come

Ruled out: the limit of processes of the user (96,362) and of the machine (192,724). At fault: limits.rs, first_workers 16. One now; others are hired as attempts come, as before.

--- a/crates/marshal/src/limits.rs
+++ b/crates/marshal/src/limits.rs
@@ -151,7 +151,9 @@
             spare_clients: rest / 2,
             node_connections,
             idle_per_node: node_connections,
-            first_workers: 16.min(node_connections),
+            // More come as attempts do. Guards against hundreds of marshals on one machine that together take every
+            // thread it has: the kernel's usual 32,768.
+            first_workers: 1,
             relays: 2,
             notes: 4096,
             votes: 64,
