Thin marshals judge by the platform's counts; threads come and go with the work

Each marshal sees a handful of its outcomes; policy.rs dropped Event::Tally unread. Back votes were answered 'ERR BUSY' in one instant (239 of 273) and came again 18.75 s later, all at once: calls-per-s is 16, next_call a whole turn of the fleet, three times the 6 s that a vote stands, so that 69 at once were met late. Change: the module tests the told counts as it tests its own errors (binomial, a tenth of a look's level, three times the others' errors); what was turned away comes again at a random part of half a turn; a standing vote is renewed as it lapses. Clients, senders and relays are crews now: one thread each, more as work comes, gone after 0.5 s without; where there is none, work waits instead of a connection closed with no answer ('no thread for a client', 7,962 times). The look for crowds runs only in one. At rest 7 threads a marshal and one a connection or attempt, before 25.

--- a/crates/decision/src/moments.rs
+++ b/crates/decision/src/moments.rs
@@ -1,10 +1,11 @@
-//! Generic containers, free of any decision: sums of pairs, a sliding count told its span by the caller, and
-//! seeded dice.
+//! Generic containers and sums, free of any decision: sums of pairs and what chance would make of them, a sliding count
+//! told its span by the caller, and seeded dice.
 
 use crate::interface::Ms;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
+use statrs::distribution::{Binomial, DiscreteCDF};
 use std::collections::VecDeque;
 
 /// Sums over units of a score `y` and a covariate `x`.
@@ -29,6 +30,10 @@
     pub fn add(&mut self, y: f64, x: f64) {
         *self = self.plus(&Sums { n: 1.0, y, x, yy: y * y, xx: x * x, xy: x * y });
     }
+    /// Adds so many units at once, of which some score 1; no covariate.
+    pub fn count(&mut self, n: f64, y: f64) {
+        *self = self.plus(&Sums { n, y, yy: y, ..Sums::default() });
+    }
     /// Turns the score of a unit at the mean covariate from 0 to 1, if one is left.
     pub fn flip(&mut self) {
         if self.y < self.n {
@@ -69,6 +74,20 @@
     }
 }
 
+/// Of counts on two sides (first: to compare with), by class: the second's score, its surplus over what the first's share
+/// would give it, its units, and the one-sided p that chance alone would give it as much of all scores, by its part of the
+/// units of each class (binomial).
+pub fn excess(classes: &[[Sums; 2]]) -> (f64, f64, f64, f64) {
+    let (mut score, mut due, mut total, mut surplus, mut units) = (0.0, 0.0, 0.0, 0.0, 0.0);
+    for [old, new] in classes {
+        let part = new.n / (old.n + new.n).max(1.0);
+        (score, total, units) = (score + new.y, total + old.y + new.y, units + new.n);
+        (due, surplus) = (due + (old.y + new.y) * part, surplus + new.y - old.y * new.n / old.n.max(1.0));
+    }
+    let p = Binomial::new(due / total, total as u64).map_or(1.0, |law| law.sf((score - 1.0) as u64));
+    (score, surplus, units, p)
+}
+
 /// A running mean: of all at first, later with a least weight for each new value.
 #[derive(Clone, Copy, Default, Debug, PartialEq)]
 pub struct Mean {
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -3,7 +3,7 @@
 //! (settings, events, actions) stand in `interface.rs`. Values marked "page" come from the design page.
 
 use crate::interface::*;
-use crate::moments::{Dice, Sums, Times};
+use crate::moments::{excess, Dice, Sums, Times};
 use crate::state::{Attempt, Calls, Cast, Ended, Flow, Heard, Node, Request, Step, Together, Trial};
 use statrs::distribution::{Binomial, ContinuousCDF, DiscreteCDF, StudentsT};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -116,6 +116,8 @@
     trial: Trial,
     /// Plain failures of the build before the newest, and of the newest since its release.
     after: Vec<[Sums; 2]>,
+    /// The same as the platform counted over all marshals, since the newest was offered.
+    told: Vec<[Sums; 2]>,
     step: Step,
     calls: Calls,
     group: Together,
@@ -137,15 +139,17 @@
         let level = (1..50).map(|i| f64::from(i) * 0.01).take_while(|&level| err(level) <= LEVEL).last();
         let level_back = LEVEL.max(level.unwrap_or(0.0) * 0.5);
         let strict = level_back.ln() / LEVEL.ln();
+        let turn = Ms(1000.0 * f64::from(set.marshals) / set.calls_per_s.max(0.1));
         Marshal {
             bars: (level_back, (LEAST * strict).ceil(), SLOW_MEANS * strict, LEAST_HARM / strict.powi(2)),
             dice: Dice::new(seed),
             flow: Flow::new(classes, RETRY_MOST),
             heard: Heard { earlier: vec![VecDeque::new(); classes], ..Heard::default() },
             after: sums.clone(),
+            told: sums.clone(),
             trial: Trial { sums, ..Trial::default() },
             step: Step { level: 1.0, ..Step::default() },
-            calls: Calls { ask_pause: PAUSE, ..Calls::default() },
+            calls: Calls { ask_pause: PAUSE, turn, ..Calls::default() },
             set,
             ..Marshal::default()
         }
@@ -190,7 +194,11 @@
             // An older table never takes a newer one's place; the same one again lives on.
             Event::Permits(table) if self.permits.as_ref().is_some_and(|(p, _)| p.number > table.number) => {}
             Event::Permits(table) => self.permits = Some((table.clone(), now + table.life)),
-            Event::Started(..) | Event::Probed(..) | Event::Tally { .. } | Event::Peer(..) => {}
+            Event::Tally { class, build, attempts, failed, .. } => {
+                let newest = usize::from(self.is_newest(build));
+                self.told[class.0][newest].count(attempts, failed);
+            }
+            Event::Started(..) | Event::Probed(..) | Event::Peer(..) => {}
         }
     }
 
@@ -278,11 +286,7 @@
     /// the group, which would go on exposing a build that the group has long sent back.
     fn granted(&self, build: Build, cap: f64) -> f64 {
         let grant = self.group.granted.filter(|(of, _)| *of == build).map_or(0.0, |(_, cap)| cap);
-        if self.set.shared {
-            cap.min(grant)
-        } else {
-            cap
-        }
+        cap.min(if self.set.shared { grant } else { cap })
     }
 
     fn is_newest(&self, build: Build) -> bool {
@@ -306,10 +310,8 @@
         let sent = &mut sent[lanes];
         let all: usize = sent.iter_mut().map(|l| l.trim(from - margin)).sum();
         // A lower cap counts attempts anew; until it binds for certain the old one counts all of them.
-        let Some((cut, old)) = self.flow.cut.filter(|_| Some(build) == self.news.as_ref().map(|n| n.build))
-        else {
-            return all as f64 <= bound(cap);
-        };
+        let cut = self.flow.cut.filter(|_| self.news.as_ref().is_some_and(|n| n.build == build));
+        let Some((cut, old)) = cut else { return all as f64 <= bound(cap) };
         let since: usize = sent.iter().map(|l| l.since(cut)).sum();
         let old_holds = self.now >= cut + self.set.drain_grace + margin || all as f64 <= bound(old);
         since as f64 <= bound(cap) && old_holds
@@ -334,8 +336,7 @@
         let inflight = |pick: &(NodeId, f64)| self.nodes[&pick.0].inflight;
         match (first, second) {
             (Some(a), Some(b)) if inflight(&a) > SPILL * (inflight(&b) + 1) => Some(b),
-            (Some(a), _) => Some(a),
-            (None, b) => b,
+            (a, b) => a.or(b),
         }
     }
 
@@ -718,13 +719,7 @@
     /// A build may turn bad late: its errors and wrong answers (not slowness), rare as they are, are tested
     /// against its part of the outcomes, if even over a fourth of its machines, as many as may be of a kind.
     fn watch(&mut self, seen: &Evidence, out: &mut Vec<Action>) {
-        let (mut bad, mut due, mut total, mut surplus, mut outcomes) = (0.0, 0.0, 0.0, 0.0, 0.0);
-        for [old, new] in &seen.after {
-            let part = new.n / (old.n + new.n).max(1.0);
-            (bad, total, outcomes) = (bad + new.y, total + old.y + new.y, outcomes + new.n);
-            (due, surplus) = (due + (old.y + new.y) * part, surplus + new.y - old.y * new.n / old.n.max(1.0));
-        }
-        let p = Binomial::new(due / total, total as u64).map_or(1.0, |law| law.sf((bad - 1.0) as u64));
+        let (bad, surplus, outcomes, p) = excess(&seen.after);
         let all = self.nodes.values().filter(|n| n.entry.build == seen.build).count() as f64;
         let (sum, squares) = seen.errors.values().fold((0.0, 0.0), |(s, q), e| (s + e, q + e * e));
         let harm =
@@ -732,6 +727,13 @@
         if harm && outcomes >= self.bars.1 && sum * sum >= (sum / 2.0).min(all / 4.0) * squares {
             self.condemn(seen.build, "by its errors", p, out);
         }
+        // The platform counts what each sees a few of; all judge it alike, far below a quorum's level. A few
+        // bad machines among the new are no bad build: it must have three times the errors of the others.
+        let (bad, surplus, outcomes, p) = excess(&self.told);
+        let harm = bad > 2.0 && surplus > (self.bars.3 * outcomes).max(bad / 1.5) && p < LEVEL * 0.1;
+        if harm && self.set.back_votes > 1 && !self.set.shared {
+            self.condemn(seen.build, "by the platform's counts", p, out);
+        }
         // As many as could vote it back alone; where judging is not shared, nobody objects but by voting.
         if self.set.shared && seen.objecting >= self.set.back_votes.max(1) {
             self.condemn(seen.build, "in step at several", 0.0, out);
@@ -785,14 +787,15 @@
         }
         if let Some(cast) = &self.calls.cast {
             let same = cast.what == (news.build, news.stage, vote);
-            let life = if cast.answered { self.set.vote_life * 0.5 } else { self.set.answer_wait };
+            // One that still stands adds nobody: renewed late where the platform's calls are few for so many.
+            let stands = self.calls.turn.max(self.set.vote_life * 0.5).min(self.set.vote_life);
+            let life = if cast.answered { stands } else { self.set.answer_wait };
             let waits = vote != Vote::Back || cast.what.2 == vote; // a first vote back takes no turn
             if (same && self.now < cast.at + life) || (waits && self.now < self.calls.next_call) {
                 return;
             }
         }
-        let gap = 1000.0 * f64::from(self.set.marshals) / self.set.calls_per_s.max(0.1);
-        self.calls.next_call = self.now + Ms(gap).max(BEAT);
+        self.calls.next_call = self.now + if vote == Vote::Back { BEAT } else { self.calls.turn.max(BEAT) };
         self.calls.cast = Some(Cast { what: (news.build, news.stage, vote), at: self.now, answered: false });
         out.push(Action::Cast { build: news.build, stage: news.stage, vote });
     }
@@ -802,8 +805,10 @@
         if let (true, Some(cast)) = (news.answers_vote, &mut self.calls.cast) {
             cast.answered = news.verdict == Verdict::Ok;
             if !cast.answered {
-                cast.at = Ms(f64::MIN); // unheard, or maybe so: again, but not into a platform that is full
-                self.calls.next_call = self.calls.next_call.max(self.now + PAUSE * 0.5);
+                // Unheard, or maybe so: again, but not into a platform that is full, nor hundreds at once.
+                let wait = self.calls.turn.max(PAUSE * 2.0) * (0.5 * self.dice.part());
+                cast.at = Ms(f64::MIN);
+                self.calls.next_call = self.calls.next_call.max(self.now + wait);
             }
         }
         let before = self.news.as_ref().map(|old| (old.build, old.stage, old.phase, old.cap));
@@ -818,6 +823,7 @@
                 (self.flow.cut, self.step.dose, self.step.sums) = (None, 0.0, Sums::default());
                 self.step.whole = self.warm[1];
                 self.group.objects = false;
+                self.told.fill_with(Default::default);
                 self.flow.exposed.retain(|&b, _| b >= news.build);
                 self.moved.clear();
                 // A build that was kept is what the next one is compared with.
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -157,6 +157,8 @@
 pub(crate) struct Calls {
     pub cast: Option<Cast>,
     pub next_call: Ms,
+    /// How long the platform's budget lasts for one call of each marshal.
+    pub turn: Ms,
     pub next_ask: Ms,
     pub ask_pause: Ms,
     pub subscribed: bool,
--- a/crates/decision/tests/decisions/main.rs
+++ b/crates/decision/tests/decisions/main.rs
@@ -6,3 +6,4 @@
 mod limits;
 mod rules;
 mod shared;
+mod thin;
--- a/crates/marshal/src/intake.rs
+++ b/crates/marshal/src/intake.rs
@@ -5,6 +5,7 @@
 use crate::book::{count, Book, Open};
 use crate::buffers::{Buffer, Buffers};
 use crate::client::{write_all, Client};
+use crate::crew::Crew;
 use crate::http::{self, Chunks, Framing, Malformed};
 use crate::limits::Limits;
 use crate::relay;
@@ -109,12 +110,14 @@
     pub stopping: Arc<AtomicBool>,
     /// Set when no new connection is wanted.
     pub closed: AtomicBool,
+    /// Whether a thread keeps a crowd thin.
+    pub thinning: AtomicBool,
 }
 
 /// Accepts until told otherwise: a connection that waits to be accepted may hold a request whose time runs.
 /// Above the limit, and where no descriptor is left, idle connections give way. Where none is idle, what comes
 /// on the new one is turned away at once.
-pub fn accept(intake: &Arc<Intake>, listener: &TcpListener) {
+pub fn accept(intake: &Arc<Intake>, listener: &TcpListener, crew: &Crew<(u64, Arc<Client>)>) {
     let limits = &intake.gate.limits;
     loop {
         let accepted = listener.accept();
@@ -122,7 +125,10 @@
             return;
         }
         match accepted {
-            Ok((stream, _)) => take(intake, stream),
+            Ok((stream, _)) => {
+                take(intake, stream, crew);
+                keep_thin(intake);
+            }
             Err(problem) => {
                 // Out of descriptors, or a connection that broke while it waited: neither ends the marshal.
                 log::warn!("accepting: {problem}");
@@ -136,17 +142,35 @@
     }
 }
 
-/// Keeps a crowd of idle connections thin until no new ones are wanted.
-pub fn thin(intake: &Intake) {
-    let limits = &intake.gate.limits;
-    while !intake.closed.load(SeqCst) {
-        std::thread::sleep(limits.crowd_look);
-        let ended = intake.clients.thin(limits);
-        intake.book.gave_way.fetch_add(ended as u64, Relaxed);
+/// Keeps a crowd of idle connections thin, by a thread that goes with the crowd. Guards against a look every few
+/// milliseconds by each of hundreds of marshals that have none.
+fn keep_thin(intake: &Arc<Intake>) {
+    let crowded =
+        |intake: &Intake| intake.clients.len() >= intake.gate.limits.crowd && !intake.closed.load(SeqCst);
+    if !crowded(intake) || intake.thinning.swap(true, SeqCst) {
+        return;
+    }
+    let shared = intake.clone();
+    let work = move || loop {
+        while crowded(&shared) {
+            std::thread::sleep(shared.gate.limits.crowd_look);
+            let ended = shared.clients.thin(&shared.gate.limits);
+            shared.book.gave_way.fetch_add(ended as u64, Relaxed);
+        }
+        shared.thinning.store(false, SeqCst);
+        // One more look: who came in between found this thread still there.
+        if !crowded(&shared) || shared.thinning.swap(true, SeqCst) {
+            return;
+        }
+    };
+    let thread = std::thread::Builder::new().name("thin".into()).stack_size(intake.gate.limits.stack);
+    if let Err(problem) = thread.spawn(work) {
+        log::warn!("no thread to thin a crowd: {problem}");
+        intake.thinning.store(false, SeqCst); // the next connection tries again
     }
 }
 
-fn take(intake: &Arc<Intake>, stream: TcpStream) {
+fn take(intake: &Arc<Intake>, stream: TcpStream, crew: &Crew<(u64, Arc<Client>)>) {
     let limits = &intake.gate.limits;
     let set = stream.set_nodelay(true).and_then(|()| stream.set_write_timeout(Some(limits.client_write)));
     if set.is_err() {
@@ -161,30 +185,31 @@
         || intake.clients.make_room(limits.first_bytes, Duration::ZERO);
     client.standing().over = !room;
     intake.clients.all().insert(number, client.clone());
-    let shared = intake.clone();
-    let thread = std::thread::Builder::new().name("client".into()).stack_size(limits.stack);
-    let spawned = thread.spawn(move || {
-        let mut open = None;
-        let end = catch_unwind(AssertUnwindSafe(|| read_requests(&shared, &client, &mut open)));
-        if end.is_err() {
-            count(&shared.book.defects);
-            log::error!("a thread of intake panicked");
-            if !client.standing().busy {
-                relay::word(&client, Word::Status(500), false);
-            }
-        }
-        // Whoever leaves with a request out has gone away, unless its answer is on its way already.
-        if let Some(open) = open.filter(|open: &Arc<Open>| !open.answered()) {
-            let _ = shared.notes.send(Note::Gone(open)); // it ends only with us
-        }
-        shared.clients.all().remove(&number);
-    });
-    if let Err(problem) = spawned {
-        log::warn!("no thread for a client: {problem}");
+    if let Err((number, client)) = crew.hand((number, client)) {
+        log::warn!("no room for a client");
+        relay::word(&client, Word::Refused(None), false);
         intake.clients.all().remove(&number);
     }
 }
 
+/// A client's connection from its first request to its end: the work of a thread of intake.
+pub fn attend(intake: &Intake, number: u64, client: &Arc<Client>) {
+    let mut open = None;
+    let end = catch_unwind(AssertUnwindSafe(|| read_requests(intake, client, &mut open)));
+    if end.is_err() {
+        count(&intake.book.defects);
+        log::error!("a thread of intake panicked");
+        if !client.standing().busy {
+            relay::word(client, Word::Status(500), false);
+        }
+    }
+    // Whoever leaves with a request out has gone away, unless its answer is on its way already.
+    if let Some(open) = open.filter(|open: &Arc<Open>| !open.answered()) {
+        let _ = intake.notes.send(Note::Gone(open)); // it ends only with us
+    }
+    intake.clients.all().remove(&number);
+}
+
 /// Reads requests until the connection ends. `open` is the request taken last.
 fn read_requests(intake: &Intake, client: &Arc<Client>, open: &mut Option<Arc<Open>>) {
     let limits = &intake.gate.limits;
--- a/crates/marshal/src/lib.rs
+++ b/crates/marshal/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod client;
 pub mod clock;
 pub mod config;
+pub mod crew;
 pub mod discovery;
 pub mod http;
 pub mod intake;
--- a/crates/marshal/src/limits.rs
+++ b/crates/marshal/src/limits.rs
@@ -1,5 +1,6 @@
 //! Every size, count and time of the marshal, filled once at start and handed down.
 
+use crate::crew::Size;
 use milletwing_profile::Transport;
 use std::time::Duration;
 
@@ -36,10 +37,10 @@
     pub node_connections: usize,
     /// Idle connections kept to one node.
     pub idle_per_node: usize,
-    /// Threads for attempts that stand ready from the start.
-    pub first_workers: usize,
-    /// Threads that write answers that no node made.
+    /// Threads that write answers that no node made, at most.
     pub relays: usize,
+    /// A thread that finds no work for this long goes, but for the last of its crew.
+    pub rest: Duration,
     /// Notes that may wait for the decision thread.
     pub notes: usize,
     /// Votes that may wait for the platform's connection.
@@ -123,6 +124,11 @@
 }
 
 impl Limits {
+    /// A crew of at most so many threads, and so many pieces of work that wait.
+    pub fn crew(&self, most: usize, waiting: usize) -> Size {
+        Size { most, waiting, stack: self.stack, rest: self.rest }
+    }
+
     /// The limits under a grant and the settings.
     pub fn new(grant: Grant, transport: &Transport) -> Limits {
         // Files, the listener, discovery and the platform; and as many for connections above the limit.
@@ -151,10 +157,8 @@
             spare_clients: rest / 2,
             node_connections,
             idle_per_node: node_connections,
-            // More come as attempts do. Guards against hundreds of marshals on one machine that together take every
-            // thread it has: the kernel's usual 32,768.
-            first_workers: 1,
-            relays: 2,
+            relays: 16,
+            rest: Duration::from_millis(500),
             notes: 4096,
             votes: 64,
             stack: 96 << 10,
--- a/crates/marshal/src/relay.rs
+++ b/crates/marshal/src/relay.rs
@@ -2,10 +2,12 @@
 
 use crate::book::Open;
 use crate::client::Client;
+use crate::crew::Crew;
 use crate::http::{reason, Head};
+use crate::limits::Limits;
 use crate::stage::{Answering, Word};
 use crate::wire;
-use crossbeam_channel::{bounded, Receiver, Sender};
+use std::io;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -111,32 +113,27 @@
 }
 
 /// Threads that write the answers which the decision thread words; that thread must not wait on a socket.
-pub struct Relays {
-    send: Sender<(Arc<Open>, Word)>,
-    /// Where the threads take their work.
-    pub work: Receiver<(Arc<Open>, Word)>,
-}
+pub struct Relays(Crew<(Arc<Open>, Word)>);
 
 impl Relays {
-    /// A queue that holds as many answers as clients can wait for.
-    pub fn new(clients: usize) -> Relays {
-        let (send, work) = bounded(clients * 2);
-        Relays { send, work }
+    /// Room for as many answers as clients can wait for.
+    pub fn new(limits: &Limits) -> io::Result<Relays> {
+        Crew::new(
+            "relay",
+            limits.crew(limits.relays, limits.clients * 2),
+            |(open, answer): (Arc<Open>, Word)| {
+                let Some(socket) = &open.socket else { return }; // its own front words it
+                if !word(&socket.client, answer, true) {
+                    socket.client.hang_up();
+                }
+            },
+        )
+        .map(Relays)
     }
 }
 
 impl Answering for Relays {
     fn hand(&self, open: Arc<Open>, word: Word) -> bool {
-        self.send.try_send((open, word)).is_ok()
-    }
-}
-
-/// The work of one such thread.
-pub fn run(work: &Receiver<(Arc<Open>, Word)>) {
-    while let Ok((open, answer)) = work.recv() {
-        let Some(socket) = &open.socket else { continue }; // its own front words it
-        if !word(&socket.client, answer, true) {
-            socket.client.hang_up();
-        }
+        self.0.hand((open, word)).is_ok()
     }
 }
--- a/crates/marshal/src/send.rs
+++ b/crates/marshal/src/send.rs
@@ -4,12 +4,13 @@
 use crate::book::{count, Book, Open};
 use crate::buffers::{Buffer, Buffers};
 use crate::client::write_all;
+use crate::crew::Crew;
 use crate::http::{self, Chunks, Framing};
 use crate::limits::Limits;
 use crate::relay::{self, Passing};
 use crate::stage::{Carrier, Note, Order, Out};
 use crate::wire;
-use crossbeam_channel::{bounded, Receiver, Sender};
+use crossbeam_channel::Sender;
 use milletwing_decision::interface::{FleetForm, NodeEntry, NodeId, NodeState, Verdict};
 use std::collections::{HashMap, HashSet};
 use std::io::{self, Read};
@@ -247,11 +248,7 @@
     pub book: Arc<Book>,
     /// The way back to the decision thread.
     pub notes: Sender<Note>,
-    jobs: (Sender<Arc<Attempt>>, Receiver<Arc<Attempt>>),
     open: Arc<AtomicUsize>,
-    workers: AtomicUsize,
-    /// Attempts that a worker has, or that wait for one.
-    load: AtomicUsize,
     nodes: Mutex<Vec<Weak<Node>>>,
     /// How kept connections fare.
     pub wear: Wear,
@@ -265,10 +262,7 @@
             buffers: buffers.clone(),
             book: book.clone(),
             notes,
-            jobs: bounded(limits.node_connections),
             open: Arc::default(),
-            workers: AtomicUsize::new(0),
-            load: AtomicUsize::new(0),
             nodes: Mutex::default(),
             wear: Wear::default(),
         }
@@ -281,45 +275,8 @@
         nodes.push(Arc::downgrade(node));
     }
 
-    /// Connections to nodes, and threads.
-    pub fn size(&self) -> (usize, usize) {
-        (self.open.load(SeqCst), self.workers.load(SeqCst))
-    }
-
-    /// Starts one more worker.
-    pub fn hire(self: &Arc<Self>) -> io::Result<()> {
-        let shared = self.clone();
-        self.workers.fetch_add(1, SeqCst);
-        let thread = std::thread::Builder::new().name("send".into()).stack_size(self.limits.stack);
-        let spawned = thread.spawn(move || {
-            while let Ok(attempt) = shared.jobs.1.recv() {
-                shared.work(&attempt);
-                shared.load.fetch_sub(1, SeqCst);
-            }
-        });
-        spawned.map(drop).inspect_err(|_| {
-            self.workers.fetch_sub(1, SeqCst);
-        })
-    }
-
-    /// Hands an attempt to a worker; false where all are at work and no more are allowed.
-    pub fn hand(self: &Arc<Self>, attempt: Arc<Attempt>) -> bool {
-        let workers = self.workers.load(SeqCst);
-        if self.load.load(SeqCst) >= workers && workers < self.limits.node_connections {
-            if let Err(problem) = self.hire() {
-                log::warn!("no thread for an attempt: {problem}");
-            }
-        }
-        self.load.fetch_add(1, SeqCst);
-        let handed = self.jobs.0.try_send(attempt).is_ok();
-        if !handed {
-            self.load.fetch_sub(1, SeqCst);
-        }
-        handed
-    }
-
     /// One attempt from beginning to end; it always gets its end, whatever happens in between.
-    fn work(&self, attempt: &Arc<Attempt>) {
+    pub fn work(&self, attempt: &Arc<Attempt>) {
         let done = catch_unwind(AssertUnwindSafe(|| self.exchange(attempt)));
         let verdict = done.unwrap_or_else(|_| {
             count(&self.book.defects);
@@ -624,13 +581,22 @@
 /// The nodes as listed, each with its pool, and the workers that carry attempts to them.
 pub struct Pools {
     senders: Arc<Senders>,
+    crew: Crew<Arc<Attempt>>,
     nodes: HashMap<NodeId, (Arc<Node>, NodeEntry)>,
 }
 
 impl Pools {
     /// No node yet.
-    pub fn new(senders: Arc<Senders>) -> Pools {
-        Pools { senders, nodes: HashMap::new() }
+    pub fn new(senders: Arc<Senders>) -> io::Result<Pools> {
+        let (limits, shared) = (&senders.limits, senders.clone());
+        let crew = Crew::new(
+            "send",
+            limits.crew(limits.node_connections, limits.node_connections),
+            move |attempt: Arc<Attempt>| {
+                shared.work(&attempt);
+            },
+        )?;
+        Ok(Pools { senders, crew, nodes: HashMap::new() })
     }
 }
 
@@ -640,7 +606,7 @@
         let (node, _) = self.nodes.get(&node)?;
         let attempt = Arc::new(Attempt::new(open, copy, node.clone(), sent, until));
         count(&self.senders.book.attempts);
-        self.senders.hand(attempt.clone()).then_some(attempt)
+        self.crew.hand(attempt.clone()).is_ok().then_some(attempt)
     }
 
     /// Connections to a node that leaves, or comes back anew, are dropped.
@@ -685,7 +651,7 @@
     }
 
     fn report(&self) -> String {
-        let (links, workers) = self.senders.size();
+        let (links, workers) = (self.senders.open.load(SeqCst), self.crew.threads());
         let idle: usize = self.nodes.values().map(|(node, _)| node.idle()).sum();
         format!("node connections {links} idle {idle}, workers {workers}")
     }
--- a/crates/marshal/src/server.rs
+++ b/crates/marshal/src/server.rs
@@ -5,12 +5,13 @@
 use crate::buffers::Buffers;
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::crew::Crew;
 use crate::discovery::{self, Caller, Watch};
 use crate::intake::{self, Clients, Intake};
 use crate::limits::Limits;
 use crate::place::Place;
 use crate::platform::Platform;
-use crate::relay::{self, Relays};
+use crate::relay::Relays;
 use crate::reload::Reload;
 use crate::route::{Route, Tools};
 use crate::send::{Pools, Senders};
@@ -178,14 +179,8 @@
         let stopping = Arc::new(AtomicBool::new(false));
 
         let senders = Arc::new(Senders::new(&limits, &buffers, &book, notes.clone()));
-        for _ in 0..limits.first_workers {
-            senders.hire()?;
-        }
-        let relays = Relays::new(limits.clients);
-        for _ in 0..limits.relays {
-            let work = relays.work.clone();
-            start("relay", limits.stack, move || relay::run(&work))?;
-        }
+        let pools = Pools::new(senders)?;
+        let relays = Relays::new(&limits)?;
 
         let discovery = Arc::new(Place::new(config.discovery));
         let platform = Arc::new(Place::new(config.platform));
@@ -211,7 +206,7 @@
             limits: limits.clone(),
             clock,
             book: book.clone(),
-            carrier: Box::new(Both { own: Pools::new(senders), asked: carrier }),
+            carrier: Box::new(Both { own: pools, asked: carrier }),
             answers: Box::new(Both { own: relays, asked: answers }),
             votes: casts,
             lists: Box::new(asks.clone()),
@@ -250,11 +245,15 @@
             ready: AtomicBool::new(true),
             stopping,
             closed: AtomicBool::new(false),
+            thinning: AtomicBool::new(false),
         });
         let shared = intake.clone();
-        let keeper = intake.clone();
-        start("thin", limits.stack, move || intake::thin(&keeper))?;
-        start("accept", limits.stack, move || intake::accept(&shared, &listener))?;
+        let most = limits.clients + limits.spare_clients;
+        let crew = Crew::new("client", limits.crew(most, most), move |(number, client)| {
+            intake::attend(&shared, number, &client);
+        })?;
+        let shared = intake.clone();
+        start("accept", limits.stack, move || intake::accept(&shared, &listener, &crew))?;
         log::info!("{} listens at {listen}", config.name);
         Ok(Server { listen, intake, reload, discovery, platform, notes, limits, _asks: asks })
     }
