The platform's counts are compared period by period

Cause: moments.rs, excess over all counts since the offer. Worthless requests came when the new build had most of the traffic; of all outcomes together it then had a third and of all errors nine tenths. Each period of the platform's is compared by itself now and the periods are summed (Periods).

--- a/crates/decision/src/moments.rs
+++ b/crates/decision/src/moments.rs
@@ -30,10 +30,6 @@
     pub fn add(&mut self, y: f64, x: f64) {
         *self = self.plus(&Sums { n: 1.0, y, x, yy: y * y, xx: x * x, xy: x * y });
     }
-    /// Adds so many units at once, of which some score 1; no covariate.
-    pub fn count(&mut self, n: f64, y: f64) {
-        *self = self.plus(&Sums { n, y, yy: y, ..Sums::default() });
-    }
     /// Turns the score of a unit at the mean covariate from 0 to 1, if one is left.
     pub fn flip(&mut self) {
         if self.y < self.n {
@@ -74,18 +70,77 @@
     }
 }
 
-/// Of counts on two sides (first: to compare with), by class: the second's score, its surplus over what the first's share
-/// would give it, its units, and the one-sided p that chance alone would give it as much of all scores, by its part of the
-/// units of each class (binomial).
-pub fn excess(classes: &[[Sums; 2]]) -> (f64, f64, f64, f64) {
-    let (mut score, mut due, mut total, mut surplus, mut units) = (0.0, 0.0, 0.0, 0.0, 0.0);
-    for [old, new] in classes {
-        let part = new.n / (old.n + new.n).max(1.0);
-        (score, total, units) = (score + new.y, total + old.y + new.y, units + new.n);
-        (due, surplus) = (due + (old.y + new.y) * part, surplus + new.y - old.y * new.n / old.n.max(1.0));
-    }
-    let p = Binomial::new(due / total, total as u64).map_or(1.0, |law| law.sf((score - 1.0) as u64));
-    (score, surplus, units, p)
+/// What the second of two sides scores beyond the first, over units that are alike: those of a class, or of a period.
+#[derive(Clone, Copy, Default, Debug, PartialEq)]
+pub struct Excess {
+    /// The second side's score.
+    pub score: f64,
+    /// Its units.
+    pub units: f64,
+    /// Its score beyond what the first side's share would give it.
+    pub surplus: f64,
+    /// Its part of all scores by its part of the units, and all scores.
+    due: f64,
+    total: f64,
+}
+
+impl Excess {
+    /// Of counts of both sides, by class.
+    pub fn of(classes: &[[Sums; 2]]) -> Excess {
+        let one = |[old, new]: &[Sums; 2]| Excess {
+            score: new.y,
+            units: new.n,
+            surplus: new.y - old.y * new.n / old.n.max(1.0),
+            due: (old.y + new.y) * new.n / (old.n + new.n).max(1.0),
+            total: old.y + new.y,
+        };
+        classes.iter().map(one).fold(Excess::default(), Excess::plus)
+    }
+    /// Both together.
+    pub fn plus(self, o: Excess) -> Excess {
+        Excess {
+            score: self.score + o.score,
+            units: self.units + o.units,
+            surplus: self.surplus + o.surplus,
+            due: self.due + o.due,
+            total: self.total + o.total,
+        }
+    }
+    /// One-sided p that chance alone would give the second side as much of all scores (binomial).
+    pub fn p(&self) -> f64 {
+        let law = Binomial::new(self.due / self.total, self.total as u64);
+        law.map_or(1.0, |law| law.sf((self.score - 1.0) as u64))
+    }
+}
+
+/// Counts of two sides by class, told by period. Each period is compared by itself: the second side's part of the units
+/// grows while what both suffer comes and goes.
+#[derive(Default, Debug)]
+pub struct Periods {
+    end: Ms,
+    last: Vec<[Sums; 2]>,
+    before: Excess,
+}
+
+impl Periods {
+    /// None yet.
+    pub fn new(classes: usize) -> Periods {
+        Periods { last: vec![Default::default(); classes], ..Periods::default() }
+    }
+    /// Takes the count of a class and side in the period that ended then.
+    pub fn count(&mut self, end: Ms, class: usize, side: usize, (units, score): (f64, f64)) {
+        if (end - self.end).0.abs() > 1.0 {
+            self.before = self.before.plus(Excess::of(&self.last));
+            self.last.fill_with(Default::default);
+            self.end = end;
+        }
+        let sums = &mut self.last[class][side];
+        *sums = sums.plus(&Sums { n: units, y: score, yy: score, ..Sums::default() });
+    }
+    /// Over all periods.
+    pub fn excess(&self) -> Excess {
+        self.before.plus(Excess::of(&self.last))
+    }
 }
 
 /// A running mean: of all at first, later with a least weight for each new value.
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -3,7 +3,7 @@
 //! (settings, events, actions) stand in `interface.rs`. Values marked "page" come from the design page.
 
 use crate::interface::*;
-use crate::moments::{excess, Dice, Sums, Times};
+use crate::moments::{Dice, Excess, Periods, Sums, Times};
 use crate::state::{Attempt, Calls, Cast, Ended, Flow, Heard, Node, Request, Step, Together, Trial};
 use statrs::distribution::{Binomial, ContinuousCDF, DiscreteCDF, StudentsT};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -117,7 +117,7 @@
     /// Plain failures of the build before the newest, and of the newest since its release.
     after: Vec<[Sums; 2]>,
     /// The same as the platform counted over all marshals, since the newest was offered.
-    told: Vec<[Sums; 2]>,
+    told: Periods,
     step: Step,
     calls: Calls,
     group: Together,
@@ -146,7 +146,7 @@
             flow: Flow::new(classes, RETRY_MOST),
             heard: Heard { earlier: vec![VecDeque::new(); classes], ..Heard::default() },
             after: sums.clone(),
-            told: sums.clone(),
+            told: Periods::new(classes),
             trial: Trial { sums, ..Trial::default() },
             step: Step { level: 1.0, ..Step::default() },
             calls: Calls { ask_pause: PAUSE, turn, ..Calls::default() },
@@ -194,9 +194,9 @@
             // An older table never takes a newer one's place; the same one again lives on.
             Event::Permits(table) if self.permits.as_ref().is_some_and(|(p, _)| p.number > table.number) => {}
             Event::Permits(table) => self.permits = Some((table.clone(), now + table.life)),
-            Event::Tally { class, build, attempts, failed, .. } => {
+            Event::Tally { age, class, build, attempts, failed, .. } => {
                 let newest = usize::from(self.is_newest(build));
-                self.told[class.0][newest].count(attempts, failed);
+                self.told.count(now - age, class.0, newest, (attempts, failed));
             }
             Event::Started(..) | Event::Probed(..) | Event::Peer(..) => {}
         }
@@ -719,20 +719,20 @@
     /// A build may turn bad late: its errors and wrong answers (not slowness), rare as they are, are tested
     /// against its part of the outcomes, if even over a fourth of its machines, as many as may be of a kind.
     fn watch(&mut self, seen: &Evidence, out: &mut Vec<Action>) {
-        let (bad, surplus, outcomes, p) = excess(&seen.after);
+        let own = Excess::of(&seen.after);
         let all = self.nodes.values().filter(|n| n.entry.build == seen.build).count() as f64;
         let (sum, squares) = seen.errors.values().fold((0.0, 0.0), |(s, q), e| (s + e, q + e * e));
-        let harm =
-            bad >= self.bars.1 * 0.2 && surplus > self.bars.3 * outcomes && p < self.bars.0 / LOOKS as f64;
-        if harm && outcomes >= self.bars.1 && sum * sum >= (sum / 2.0).min(all / 4.0) * squares {
-            self.condemn(seen.build, "by its errors", p, out);
+        let harm = own.score >= self.bars.1 * 0.2 && own.surplus > self.bars.3 * own.units;
+        let even = sum * sum >= (sum / 2.0).min(all / 4.0) * squares;
+        if harm && even && own.units >= self.bars.1 && own.p() < self.bars.0 / LOOKS as f64 {
+            self.condemn(seen.build, "by its errors", own.p(), out);
         }
         // The platform counts what each sees a few of; all judge it alike, far below a quorum's level. A few
         // bad machines among the new are no bad build: it must have three times the errors of the others.
-        let (bad, surplus, outcomes, p) = excess(&self.told);
-        let harm = bad > 2.0 && surplus > (self.bars.3 * outcomes).max(bad / 1.5) && p < LEVEL * 0.1;
-        if harm && self.set.back_votes > 1 && !self.set.shared {
-            self.condemn(seen.build, "by the platform's counts", p, out);
+        let (told, alone) = (self.told.excess(), self.set.shared || self.set.back_votes <= 1);
+        let harm = told.score > 2.0 && told.surplus > (self.bars.3 * told.units).max(told.score / 1.5);
+        if harm && !alone && told.p() < LEVEL * 0.1 {
+            self.condemn(seen.build, "by the platform's counts", told.p(), out);
         }
         // As many as could vote it back alone; where judging is not shared, nobody objects but by voting.
         if self.set.shared && seen.objecting >= self.set.back_votes.max(1) {
@@ -823,7 +823,7 @@
                 (self.flow.cut, self.step.dose, self.step.sums) = (None, 0.0, Sums::default());
                 self.step.whole = self.warm[1];
                 self.group.objects = false;
-                self.told.fill_with(Default::default);
+                self.told = Periods::new(self.set.classes.len());
                 self.flow.exposed.retain(|&b, _| b >= news.build);
                 self.moved.clear();
                 // A build that was kept is what the next one is compared with.
--- a/crates/decision/tests/decisions/thin.rs
+++ b/crates/decision/tests/decisions/thin.rs
@@ -14,7 +14,12 @@
 }
 
 fn tally(b: &mut Bench, build: u32, attempts: f64, failed: f64) {
-    let (age, class, latency) = (Ms(1200.0), ClassId(0), Ms(40.0));
+    tally_of(b, 0.0, build, attempts, failed);
+}
+
+/// Of a period that ended so many seconds before the last.
+fn tally_of(b: &mut Bench, before: f64, build: u32, attempts: f64, failed: f64) {
+    let (age, class, latency) = (Ms(1200.0 + before * 1000.0), ClassId(0), Ms(40.0));
     b.give(Event::Tally { age, class, build: Build(build), attempts, failed, latency });
 }
 
@@ -52,6 +57,29 @@
     assert!(!judged((1600.0, 80.0), (140.0, 16.0)), "as many bad machines as elsewhere, and a few more");
 }
 
+/// Guards against a trouble of all builds that comes as the new one has most of the traffic: over all periods together the
+/// new build would have nearly all errors, of a third of the outcomes.
+#[test]
+fn a_trouble_of_all_that_comes_late_is_not_the_builds() {
+    let mut b = one_of_many(7);
+    tally_of(&mut b, 4.0, 1, 400.0, 0.0);
+    tally_of(&mut b, 4.0, 2, 20.0, 0.0);
+    for second in 0..4 {
+        tally_of(&mut b, f64::from(3 - second), 1, 20.0, 9.0);
+        tally_of(&mut b, f64::from(3 - second), 2, 180.0, 81.0);
+    }
+    b.pass(100.0);
+    assert_eq!(backs(&b), 0);
+    // Worse than the others in each of the periods, it is.
+    let mut b = one_of_many(7);
+    for second in 0..4 {
+        tally_of(&mut b, f64::from(3 - second), 1, 100.0, 2.0);
+        tally_of(&mut b, f64::from(3 - second), 2, 40.0, 39.0);
+    }
+    b.pass(100.0);
+    assert_eq!(backs(&b), 1);
+}
+
 #[test]
 fn what_the_platform_told_before_a_build_was_offered_says_nothing_of_it() {
     let mut b = one_of_many(7);
