Stops under load, with hang-ups and without a file, are tested on the program

Eight clients that go on as the front has them (new connections for 0.35 s after SIGTERM, kept ones as long as they stand): every request answered by a node, a connection's first included, and none that must not run twice did, by the node's own count. With SIGHUP in the same moment, before and after; with the file gone, cut short and wrong.

--- a/crates/milletwing/tests/program.rs
+++ b/crates/milletwing/tests/program.rs
@@ -4,11 +4,14 @@
 use milletwing_toy::node::{Node, Reply};
 use milletwing_toy::platform::Platform;
 use milletwing_toy::read_message;
+use std::collections::HashMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const EXAMPLE: &str = include_str!("../../../examples/marshal.json");
 
@@ -143,3 +146,119 @@
     running.sign("TERM");
     running.ends_well();
 }
+
+/// A request that must not run twice.
+fn pay(id: &str) -> String {
+    format!("POST /api HTTP/1.1\r\nX-Txn: {id}\r\nX-Lane: pay\r\nX-Remaining: 9000m\r\nContent-Length: 1\r\n\r\n1")
+}
+
+/// What clients saw that went on asking while their marshal was told to stop, as the front has them do: new connections
+/// for a while yet, kept ones for as long as they stand.
+#[derive(Default)]
+struct Seen {
+    answered: AtomicU64,
+    /// Requests that were the first on their connection and got no answer.
+    lost: Mutex<Vec<String>>,
+    /// Answers that were none of a node's.
+    other: Mutex<Vec<String>>,
+}
+
+/// One client: a fresh connection for every third request, the rest on one that is kept. New ones until `no_more`.
+fn keep_asking(who: usize, listen: SocketAddr, no_more: &Mutex<Option<Instant>>, seen: &Seen) {
+    let mut kept: Option<TcpStream> = None;
+    for number in 0.. {
+        let id = format!("c{who}-{number}");
+        let text = if number % 2 == 0 { ask(&id) } else { pay(&id) };
+        if number % 3 == 0 {
+            kept = None;
+        }
+        // A connection that is closed as a request crosses it: the request goes out once more, on a new one.
+        loop {
+            let fresh = kept.is_none();
+            if fresh && no_more.lock().unwrap().is_some_and(|at| Instant::now() >= at) {
+                return;
+            }
+            let stream = match kept.take() {
+                Some(stream) => stream,
+                None => TcpStream::connect(listen).expect("new connections are taken for a while yet"),
+            };
+            stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+            let written = (&stream).write_all(text.as_bytes()).is_ok();
+            let answer = read_message(&stream, &mut Vec::new());
+            match answer {
+                Ok(Some(answer)) => {
+                    seen.answered.fetch_add(1, SeqCst);
+                    if answer.word(1) != "200" {
+                        seen.other.lock().unwrap().push(format!("{id}: {}", answer.word(1)));
+                    }
+                    kept = (answer.get("Connection") != Some("close")).then_some(stream);
+                    break;
+                }
+                _ if fresh => {
+                    seen.lost.lock().unwrap().push(format!("{id}, written {written}"));
+                    return;
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Stops a marshal under load, in its own way; every request is answered by a node, and none that must not ran twice.
+fn stopped_under_load(name: &str, stop: impl FnOnce(&Running)) {
+    let ran: Arc<Mutex<HashMap<String, u32>>> = Arc::default();
+    let counts = ran.clone();
+    let node = Node::start("127.0.0.1:0", move |message| {
+        *counts.lock().unwrap().entry(message.get("X-Txn").unwrap_or("").to_string()).or_default() += 1;
+        Reply::After(Duration::from_millis(15), Box::new(Reply::Answer(200, b"ok".to_vec())))
+    });
+    let node = node.unwrap();
+    let running = Running::start(name, node.addr);
+    let (seen, no_more) = (Seen::default(), Mutex::new(None));
+    std::thread::scope(|scope| {
+        for who in 0..8 {
+            let (seen, no_more, listen) = (&seen, &no_more, running.listen);
+            scope.spawn(move || keep_asking(who, listen, no_more, seen));
+        }
+        until("clients ask", || seen.answered.load(SeqCst) > 100);
+        stop(&running);
+        *no_more.lock().unwrap() = Some(Instant::now() + Duration::from_millis(350));
+    });
+    assert_eq!(*seen.lost.lock().unwrap(), Vec::<String>::new());
+    assert_eq!(*seen.other.lock().unwrap(), Vec::<String>::new());
+    let ran = ran.lock().unwrap();
+    let twice: Vec<_> = ran.iter().filter(|(_, count)| **count > 1).collect();
+    assert!(twice.is_empty(), "{twice:?}");
+    assert!(ran.len() as u64 >= seen.answered.load(SeqCst));
+    running.ends_well();
+}
+
+#[test]
+fn the_sign_to_stop_under_load_loses_no_request() {
+    stopped_under_load("stop", |running| running.sign("TERM"));
+}
+
+/// Guards against a reload that holds up or undoes a stop, in whatever order the two are heard.
+#[test]
+fn a_hang_up_with_the_sign_to_stop_loses_no_request() {
+    stopped_under_load("both", |running| {
+        std::fs::write(running.file(), running.text(1)).unwrap();
+        let id = running.program.0.id();
+        let both = format!("kill -HUP {id}; kill -TERM {id}; kill -HUP {id}; kill -HUP {id}");
+        assert!(Command::new("sh").args(["-c", &both]).status().unwrap().success());
+    });
+}
+
+/// Guards against a file that is gone or wrong at the moment of the stop, or between two signs.
+#[test]
+fn hang_ups_without_a_file_or_with_a_wrong_one_change_nothing_and_the_stop_loses_no_request() {
+    stopped_under_load("wrong", |running| {
+        std::fs::remove_file(running.file()).unwrap();
+        running.sign("HUP");
+        std::fs::write(running.file(), "{\"listen\": 7").unwrap();
+        running.sign("HUP");
+        running.sign("HUP");
+        assert_eq!(status(running.listen, &ask("between")).as_deref(), Some("200"));
+        running.sign("TERM");
+    });
+}
