--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -4,7 +4,7 @@
 use milletwing_group_server::Joiner;
 use milletwing_marshal::server::{Extras, Joining};
 use milletwing_marshal::{Config, Limits, Server, Signs};
-use milletwing_trials::{demo, group, judging, measure, releases};
+use milletwing_trials::{demo, fleet, group, judging, measure, releases};
 use serde_json::Value;
 
 /// Demonstrates a marshal, and tries groups of them under failures; all on loopback, and it ends by itself.
@@ -18,6 +18,7 @@
 #[argh(subcommand)]
 enum Call {
     Demo(Demo),
+    Fleet(Fleet),
     Group(Group),
     Judging(Judging),
     Releases(Releases),
@@ -43,6 +44,19 @@
     json: bool,
 }
 
+/// Counts over the logs of a fleet: starts, votes, lost connections in the worst second; who stood for sending back what,
+/// and when.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fleet")]
+struct Fleet {
+    /// the folder: a file for each marshal, ending in .log
+    #[argh(positional)]
+    logs: String,
+    /// as JSON, for scripts
+    #[argh(switch)]
+    json: bool,
+}
+
 /// Starts real instances of a group, and draws partitions, pauses, kills and hand-overs from the seed; ends with 1 where
 /// a rule was broken.
 #[derive(FromArgs)]
@@ -205,6 +219,15 @@
             }
             Ok(seen["held"] == true)
         }
+        Call::Fleet(Fleet { logs, json }) => {
+            let seen = fleet::Count::of(std::path::Path::new(&logs))?;
+            if json {
+                println!("{}", seen.json());
+            } else {
+                println!("{seen}");
+            }
+            Ok(true)
+        }
         Call::Judging(Judging { instances, trials }) => {
             println!("{}", judging::run(instances, trials));
             Ok(true)
