A request read as its connection is ended for others is still answered

Cause by reading, and a test that puts it in its worst order: intake.rs ends an idle connection for others by shutting its reading side (client.rs, give_way); where its thread had just read a request, the next read gave 0 and was taken for the client's leaving: Note::Gone claimed the answer, and the connection was dropped. Now the thread waits for the answer where the end was ours, and a usual client whose request has begun to come is not ended any more. The test fails without ('its client has not left').

--- a/crates/marshal/src/client.rs
+++ b/crates/marshal/src/client.rs
@@ -114,6 +114,19 @@
         true
     }
 
+    /// Whether we ended its reading side ourselves: then no more bytes do not mean that the client has left.
+    pub(crate) fn ending(&self) -> bool {
+        self.standing().closing
+    }
+
+    /// Waits until the request on it, if there is one, has its answer.
+    pub(crate) fn finish(&self) {
+        let mut standing = self.standing();
+        while standing.busy && !standing.parted {
+            standing = self.free.wait(standing).unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+
     /// Ends the connection if no request is on it; its client asks again elsewhere. Only its reading side is
     /// shut: what has come by now is still read, and answered. Guards against ending one on a request that its
     /// thread has just read.
@@ -144,7 +157,9 @@
     /// read whole is still answered.
     pub(crate) fn give_way(&self) {
         let mut standing = self.standing();
-        if !standing.busy && !standing.parted {
+        // A usual client whose next request has begun to come since it was chosen stays.
+        let asks = standing.busy || (standing.proven && standing.begun);
+        if !asks && !standing.parted {
             standing.closing = true;
             let _ = self.stream.shutdown(Shutdown::Read); // it may be gone already
         }
--- a/crates/marshal/src/intake.rs
+++ b/crates/marshal/src/intake.rs
@@ -256,7 +256,14 @@
             }
         }
         match (&client.stream).read(&mut chunk) {
-            Ok(0) => return,
+            Ok(0) => {
+                // Guards against taking an end of our own for the client's: a request that was read in the moment in
+                // which its connection was chosen to give way is still answered.
+                if client.ending() {
+                    client.finish();
+                }
+                return;
+            }
             Ok(read) => {
                 let part = coming.get_or_insert_with(|| Coming::new(&intake.gate.buffers));
                 client.standing().begun = true;
@@ -411,3 +418,54 @@
         Ok(Step::Next)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::config::Config;
+    use std::io::Write;
+    use std::net::SocketAddr;
+
+    /// The race between a look for idle connections and a request that has just come, in its worst order.
+    #[test]
+    fn a_request_read_as_its_connection_is_ended_for_others_is_still_answered() {
+        let text = include_str!("../../../examples/marshal.json");
+        let config = Config::read(text, |_| None).unwrap();
+        let limits = crate::Limits::new(config.grant, &config.transport);
+        let (notes, told) = crossbeam_channel::bounded(8);
+        let buffers = crate::buffers::Buffers::new(limits.buffer, 4);
+        let gate = Gate { settings: config.settings, names: config.names, limits, buffers };
+        let intake = Intake {
+            gate,
+            clients: Clients::default(),
+            notes,
+            book: Arc::default(),
+            ready: AtomicBool::new(true),
+            stopping: Arc::default(),
+            closed: AtomicBool::new(false),
+            thinning: AtomicBool::new(false),
+        };
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let asks = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let client = Arc::new(Client::new(listener.accept().unwrap().0, Arc::default()));
+        let request = "GET /api HTTP/1.1\r\nX-Txn: a\r\nX-Lane: lookup\r\nX-Remaining: 9000m\r\n\r\n";
+        (&asks).write_all(request.as_bytes()).unwrap();
+        while client.stream.peek(&mut [0; 512]).unwrap() < request.len() {}
+        client.give_way();
+        let attended = client.clone();
+        std::thread::scope(|scope| {
+            let thread = scope.spawn(|| attend(&intake, 0, &attended));
+            let Ok(Note::Taken(admitted)) = told.recv() else { panic!("it is taken") };
+            // Time enough for the thread to find the end that we made.
+            let next = told.recv_timeout(Duration::from_millis(200));
+            assert!(next.is_err(), "its client has not left");
+            assert!(admitted.open.claim());
+            relay::word(&client, Word::Failed, true);
+            thread.join().unwrap();
+        });
+        let mut answer = String::new();
+        (&asks).read_to_string(&mut answer).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 502 "), "{answer}");
+        assert!(told.is_empty());
+    }
+}
