Least errors and three times the others' are each tested where chance is ruled out

The counts' tests fell to more than one guard, so that taking one out failed none. Two cases whose p is far below the level. No change of the program.

--- a/crates/decision/tests/decisions/thin.rs
+++ b/crates/decision/tests/decisions/thin.rs
@@ -55,6 +55,9 @@
     assert!(!judged((400.0, 4.0), (28.0, 0.0)));
     assert!(!judged((400.0, 4.0), (28.0, 2.0)), "two errors may be chance");
     assert!(!judged((1600.0, 80.0), (140.0, 16.0)), "as many bad machines as elsewhere, and a few more");
+    // Chance alone would hardly give these; only what is asked of them besides keeps them from being judged.
+    assert!(!judged((1600.0, 160.0), (400.0, 96.0)), "under three times the errors of the others");
+    assert!(!judged((4000.0, 0.0), (4.0, 2.0)), "two errors, however unlikely");
 }
 
 /// Guards against a trouble of all builds that comes as the new one has most of the traffic: over all periods together the
