--- a/crates/decision/tests/decisions/thin.rs
+++ b/crates/decision/tests/decisions/thin.rs
@@ -58,6 +58,7 @@
     // Chance alone would hardly give these; only what is asked of them besides keeps them from being judged.
     assert!(!judged((1600.0, 160.0), (400.0, 96.0)), "under three times the errors of the others");
     assert!(!judged((4000.0, 0.0), (4.0, 2.0)), "two errors, however unlikely");
+    assert!(!judged((100.0, 2.0), (40.0, 6.0)), "six of eight errors may be chance");
 }
 
 /// Guards against a trouble of all builds that comes as the new one has most of the traffic: over all periods together the
