--- /dev/null
+++ b/crates/carrier/src/body.rs
@@ -0,0 +1,212 @@
+//! What flows through: a request's body towards a marshal, an answer's towards a client. A little is gathered, so that a
+//! request can be sent again and a short answer is known to be whole; the rest streams, at the pace of whoever is slower.
+
+use crate::edge::Edge;
+use crate::pool::Lease;
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+/// Bytes that are gathered before anything is sent on.
+pub const GATHER: usize = 16 << 10;
+
+/// Why a body ends early.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+pub enum Cut {
+    /// The other side broke off.
+    #[display("broken off")]
+    Broken,
+    /// It is longer than allowed.
+    #[display("too large")]
+    TooLarge,
+}
+
+/// The beginning of a body, and the rest if there is more.
+pub struct Gathered {
+    pub head: VecDeque<Bytes>,
+    pub rest: Option<Incoming>,
+}
+
+/// Reads a body until its end, or until so much is there that it will be streamed.
+pub async fn gather(mut body: Incoming) -> Result<Gathered, Cut> {
+    let mut head = VecDeque::new();
+    let mut size = 0;
+    loop {
+        if body.is_end_stream() {
+            return Ok(Gathered { head, rest: None });
+        }
+        match body.frame().await {
+            None => return Ok(Gathered { head, rest: None }),
+            Some(Err(_)) => return Err(Cut::Broken),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    size += data.len();
+                    head.push_back(data);
+                }
+            }
+        }
+        if size > GATHER {
+            return Ok(Gathered { head, rest: Some(body) });
+        }
+    }
+}
+
+/// One piece of what was gathered.
+pub fn join(mut head: VecDeque<Bytes>) -> Bytes {
+    if head.len() <= 1 {
+        return head.pop_front().unwrap_or_default();
+    }
+    head.iter().flatten().copied().collect()
+}
+
+/// A request's body towards a marshal.
+pub enum Carry {
+    /// All of it is here.
+    Whole(Option<Bytes>),
+    /// It goes on as it comes, up to so many bytes more.
+    Stream { head: VecDeque<Bytes>, rest: Incoming, room: u64 },
+}
+
+impl Body for Carry {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match &mut *self {
+            Carry::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Carry::Stream { head, rest, room } => {
+                if let Some(bytes) = head.pop_front() {
+                    return Poll::Ready(Some(Ok(Frame::data(bytes))));
+                }
+                match Pin::new(rest).poll_frame(context) {
+                    Poll::Ready(Some(Ok(frame))) => {
+                        *room = match room.checked_sub(frame.data_ref().map_or(0, |data| data.len() as u64)) {
+                            Some(room) => room,
+                            None => return Poll::Ready(Some(Err(Cut::TooLarge))),
+                        };
+                        Poll::Ready(Some(Ok(frame)))
+                    }
+                    Poll::Ready(Some(Err(_))) => Poll::Ready(Some(Err(Cut::Broken))),
+                    Poll::Ready(None) => Poll::Ready(None),
+                    Poll::Pending => Poll::Pending,
+                }
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Carry::Whole(bytes) => bytes.is_none(),
+            Carry::Stream { head, rest, .. } => head.is_empty() && rest.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Carry::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
+            Carry::Stream { head, rest, .. } => longer(rest.size_hint(), head),
+        }
+    }
+}
+
+fn longer(rest: SizeHint, head: &VecDeque<Bytes>) -> SizeHint {
+    let before: u64 = head.iter().map(|bytes| bytes.len() as u64).sum();
+    match rest.exact() {
+        Some(exact) => SizeHint::with_exact(exact + before),
+        None => SizeHint::default(),
+    }
+}
+
+/// What is reported when a streamed answer has ended.
+pub type AtEnd = Box<dyn FnOnce(bool)>;
+
+/// An answer's body towards a client.
+pub enum Out {
+    /// All of it is here.
+    Whole(Option<Bytes>),
+    /// It goes on as it comes.
+    Stream(Box<Streamed>),
+}
+
+/// A streamed answer, with the connection that it comes on.
+pub struct Streamed {
+    pub head: VecDeque<Bytes>,
+    pub rest: Incoming,
+    pub lease: Option<Lease>,
+    pub keep: Option<Duration>,
+    pub edge: Rc<Edge>,
+    pub at_end: Option<AtEnd>,
+}
+
+impl Streamed {
+    fn end(&mut self, whole: bool) {
+        if let Some(lease) = self.lease.take().filter(|_| whole) {
+            self.edge.pool.give_back(lease, self.keep);
+        }
+        if let Some(at_end) = self.at_end.take() {
+            at_end(whole);
+        }
+    }
+}
+
+impl Drop for Streamed {
+    fn drop(&mut self) {
+        let whole = self.rest.is_end_stream() && self.head.is_empty();
+        self.end(whole);
+    }
+}
+
+impl Body for Out {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match &mut *self {
+            Out::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Out::Stream(stream) => {
+                if let Some(bytes) = stream.head.pop_front() {
+                    return Poll::Ready(Some(Ok(Frame::data(bytes))));
+                }
+                match Pin::new(&mut stream.rest).poll_frame(context) {
+                    Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+                    Poll::Ready(Some(Err(_))) => {
+                        // The client's connection is cut as well: an answer that ends early must not look whole.
+                        stream.end(false);
+                        Poll::Ready(Some(Err(Cut::Broken)))
+                    }
+                    Poll::Ready(None) => {
+                        stream.end(true);
+                        Poll::Ready(None)
+                    }
+                    Poll::Pending => Poll::Pending,
+                }
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Out::Whole(bytes) => bytes.is_none(),
+            Out::Stream(stream) => stream.head.is_empty() && stream.rest.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Out::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
+            Out::Stream(stream) => longer(stream.rest.size_hint(), &stream.head),
+        }
+    }
+}
--- /dev/null
+++ b/crates/carrier/src/feed.rs
@@ -0,0 +1,160 @@
+//! Follows the core: one connection to the machine that answers first, resumed at another by the last entry folded. A
+//! machine that goes silent, or that doesn't hear its leader, is left for another.
+
+use crate::edge::Edge;
+use milletwing_ledger::{Command, View};
+use milletwing_tenet::{tell, Settings};
+use milletwing_tidings::{self as tidings, frame, place, Down, Greeting, Up};
+use std::net::SocketAddrV4;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+/// Between an edge's beats.
+const BEAT: Duration = Duration::from_millis(500);
+/// A core machine that says nothing for so long is left; its pulse comes five times a second.
+const SILENCE: Duration = Duration::from_millis(900);
+/// One that doesn't hear its leader for so long is left.
+const STALE: Duration = Duration::from_millis(800);
+
+/// Follows one core machine after the other.
+pub async fn follow(edge: Rc<Edge>) {
+    let mut cores: Vec<u32> = Vec::new();
+    // Machines left lately, and until when.
+    let mut left: Vec<(u32, Instant)> = Vec::new();
+    loop {
+        left.retain(|(_, until)| *until > Instant::now());
+        let (seeds, port) = {
+            let settings = edge.settings.borrow();
+            (settings.seeds(), settings.network.internal_ports.0)
+        };
+        let mut all = cores.clone();
+        all.extend(seeds);
+        all.sort_unstable();
+        all.dedup();
+        let some: Vec<u32> =
+            all.iter().copied().filter(|id| !left.iter().any(|(gone, _)| gone == id)).collect();
+        if let Some((id, stream)) = nearest(if some.is_empty() { &all } else { &some }, port).await {
+            let why = listen(&edge, stream, &mut cores).await;
+            tell!(FeedLost, "{}: {why}", place(id, port));
+            left.push((id, Instant::now() + Duration::from_secs(2)));
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Dials all, and takes the first that answers.
+async fn nearest(all: &[u32], port: u16) -> Option<(u32, TcpStream)> {
+    let mut dials = JoinSet::new();
+    for id in all.iter().copied() {
+        let to: SocketAddrV4 = place(id, port);
+        dials.spawn_local(async move { (id, tidings::dial(to, Duration::from_millis(600)).await) });
+    }
+    while let Some(done) = dials.join_next().await {
+        if let Ok((id, Ok(stream))) = done {
+            return Some((id, stream));
+        }
+    }
+    None
+}
+
+/// Folds what one machine sends, until it is to be left. Gives the reason.
+async fn listen(edge: &Rc<Edge>, stream: TcpStream, cores: &mut Vec<u32>) -> String {
+    let (read, mut write) = stream.into_split();
+    let mut read = BufReader::with_capacity(4096, read);
+    let greeting = Greeting::Edge(edge.heard(), edge.view.borrow().index);
+    if let Err(problem) = write.write_all(&frame(&greeting)).await {
+        return problem.to_string();
+    }
+    let beating = Rc::clone(edge);
+    let beats = tokio::task::spawn_local(async move {
+        loop {
+            let _ = tokio::time::timeout(BEAT, beating.changed.notified()).await;
+            let beat = frame(&Up::Beat(beating.heard(), beating.view.borrow().index));
+            if write.write_all(&beat).await.is_err() {
+                return;
+            }
+        }
+    });
+    let mut fresh = Instant::now();
+    let mut said = false;
+    let why = loop {
+        let down = match tokio::time::timeout(SILENCE, tidings::read::<Down>(&mut read)).await {
+            Ok(Ok(down)) => down,
+            Ok(Err(problem)) => break problem.to_string(),
+            Err(_) => break "silent".into(),
+        };
+        match down {
+            Down::Whole(bytes) => match View::from_bytes(&bytes) {
+                Ok(view) => whole(edge, view),
+                Err(problem) => break problem,
+            },
+            Down::Entries(entries) => {
+                if let Err(problem) = fold(edge, entries) {
+                    break problem;
+                }
+            }
+            Down::Pulse { fresh: now, index, cores: all, edges } => {
+                let behind = index < edge.view.borrow().index;
+                if now && !behind {
+                    fresh = Instant::now();
+                    if !said {
+                        said = true;
+                        tell!(FeedUp, "as of entry {index}");
+                    }
+                } else if fresh.elapsed() > STALE {
+                    break "it does not hear its leader, or lags".into();
+                }
+                *cores = all;
+                edge.course.borrow_mut().edges(edges);
+            }
+        }
+    };
+    beats.abort();
+    why
+}
+
+/// Takes a whole state, unless it is older than what is folded: within its life an edge never goes back.
+fn whole(edge: &Edge, view: View) {
+    if view.index > edge.view.borrow().index {
+        *edge.view.borrow_mut() = view;
+        edge.refresh();
+    }
+}
+
+fn fold(edge: &Edge, entries: Vec<(u64, Vec<u8>)>) -> Result<(), String> {
+    {
+        let view = &mut *edge.view.borrow_mut();
+        for (index, bytes) in entries {
+            if index > view.index {
+                view.apply(index, &Command::read(&bytes)?);
+            }
+        }
+    }
+    edge.refresh();
+    Ok(())
+}
+
+/// Reads the settings again whenever the file changes.
+pub async fn watch(edge: Rc<Edge>, path: PathBuf) {
+    let mut before = std::fs::read_to_string(&path).ok();
+    loop {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let text = std::fs::read_to_string(&path).ok();
+        if text == before {
+            continue;
+        }
+        match text.as_deref().map(Settings::read) {
+            Some(Ok(settings)) => {
+                *edge.settings.borrow_mut() = settings;
+                tell!(SettingsRead, "{}", path.display());
+            }
+            Some(Err(problem)) => tell!(BadSettings, "{}: {problem}; the earlier ones stay", path.display()),
+            None => tell!(BadSettings, "{}: it can't be read; the earlier ones stay", path.display()),
+        }
+        before = text;
+    }
+}
--- /dev/null
+++ b/crates/carrier/src/lib.rs
@@ -0,0 +1,63 @@
+//! The program of an edge. `front` takes clients' connections, `relay` a request through `course`'s decisions to its
+//! answer, `pool` keeps connections to marshals, `body` what flows through, `feed` follows the core. One thread.
+
+mod body;
+mod edge;
+mod feed;
+mod front;
+mod pool;
+mod relay;
+
+use crate::edge::Edge;
+use milletwing_tenet::{tell, Settings};
+use std::future::Future;
+use std::path::Path;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Tells the program to leave in order.
+pub type Leave = Pin<Box<dyn Future<Output = ()>>>;
+
+/// Runs until `leave` says so, and what it has taken is finished. Errors are for operators: a binding that is missing or
+/// taken.
+pub async fn run(settings: Settings, path: &Path, leave: Leave) -> Result<(), String> {
+    let ingress = settings.binding("ingress")?;
+    let listener =
+        TcpListener::bind(ingress).await.map_err(|problem| format!("ingress {ingress}: {problem}"))?;
+    let readiness = match settings.network.bindings.get("readiness") {
+        Some(to) => {
+            Some(TcpListener::bind(to).await.map_err(|problem| format!("readiness {to}: {problem}"))?)
+        }
+        None => None,
+    };
+    let grace = settings.timers.guarantees.graceS.max(1.0);
+    let edge = Edge::new(settings, ingress);
+    tell!(Started, "carrier {} ingress {ingress}", edge.name);
+    tokio::task::spawn_local(feed::follow(Rc::clone(&edge)));
+    tokio::task::spawn_local(feed::watch(Rc::clone(&edge), path.to_path_buf()));
+    let accepting = tokio::task::spawn_local(front::serve(Rc::clone(&edge), listener));
+    if let Some(readiness) = readiness {
+        tokio::task::spawn_local(front::readiness(Rc::clone(&edge), readiness));
+    }
+    leave.await;
+    tell!(Term, "{} connections, {} requests", edge.connections.get(), edge.requests.get());
+    // Out of the directory and readiness at once; who still comes is served, and told to come no more.
+    edge.leave();
+    let begun = tokio::time::Instant::now();
+    let at = |part: f64| begun + Duration::from_secs_f64(part);
+    // Clients hold a resolution for a while, some for three times as long.
+    while tokio::time::Instant::now() < at(grace * 0.8)
+        && (edge.connections.get() > 0 || begun.elapsed() < Duration::from_secs_f64(grace * 0.75))
+    {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    accepting.abort();
+    edge.close.notify_waiters();
+    while tokio::time::Instant::now() < at(grace - 0.25) && edge.connections.get() > 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    tell!(Ended, "{} requests left", edge.requests.get());
+    Ok(())
+}
--- /dev/null
+++ b/crates/carrier/src/pool.rs
@@ -0,0 +1,115 @@
+//! Connections to marshals: one request at a time on each, the one used last first, none that its marshal may be about
+//! to close.
+
+use crate::body::Carry;
+use ahash::RandomState;
+use hashbrown::HashMap;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use milletwing_course::Sending;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Unacknowledged bytes end a connection after this: a marshal without power says nothing.
+const PATIENCE: Duration = Duration::from_millis(700);
+/// A connection that doesn't come up in this time is given up.
+const DIAL: Duration = Duration::from_millis(350);
+/// Idle connections are used no longer than this, or than half of what the marshal tells: what is sent on one that was
+/// just closed may have run.
+const IDLE: Duration = Duration::from_secs(4);
+
+struct Idle {
+    sender: SendRequest<Carry>,
+    until: Instant,
+}
+
+#[derive(Default)]
+struct Host {
+    idle: Vec<Idle>,
+    open: Rc<Cell<usize>>,
+}
+
+/// All connections, by marshal.
+#[derive(Default)]
+pub struct Pool {
+    hosts: RefCell<HashMap<u64, Host, RandomState>>,
+}
+
+/// A connection in use; it goes back to the pool by [`Pool::give_back`], or is closed when dropped.
+pub struct Lease {
+    pub sender: SendRequest<Carry>,
+    pub marshal: u64,
+    /// It has carried a request before.
+    pub used: bool,
+}
+
+/// Why there is no connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoLease {
+    /// None came up.
+    Unreached,
+    /// As many as this edge may hold are in use.
+    Busy,
+}
+
+impl Pool {
+    /// A connection to a marshal. `fresh`: a new one.
+    pub async fn lease(&self, sending: &Sending, fresh: bool) -> Result<Lease, NoLease> {
+        let open = {
+            let mut hosts = self.hosts.borrow_mut();
+            let host = hosts.entry(sending.marshal).or_default();
+            let now = Instant::now();
+            while let Some(idle) = host.idle.pop() {
+                if !fresh && now < idle.until && idle.sender.is_ready() {
+                    return Ok(Lease { sender: idle.sender, marshal: sending.marshal, used: true });
+                }
+            }
+            if host.open.get() >= sending.connections {
+                return Err(NoLease::Busy);
+            }
+            host.open.set(host.open.get() + 1);
+            Rc::clone(&host.open)
+        };
+        let count = Count(open);
+        let stream = milletwing_tidings::dial(sending.address, DIAL).await.map_err(|_| NoLease::Unreached)?;
+        let _ = milletwing_tidings::groom(&stream, PATIENCE);
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(32 << 10).writev(false);
+        let (sender, connection) =
+            builder.handshake(TokioIo::new(stream)).await.map_err(|_| NoLease::Unreached)?;
+        tokio::task::spawn_local(async move {
+            let _ = connection.await; // whoever uses it hears of its end
+            drop(count);
+        });
+        Ok(Lease { sender, marshal: sending.marshal, used: false })
+    }
+
+    /// A connection whose answer has ended whole. `keep`: for how long its marshal says that it keeps it.
+    pub fn give_back(&self, lease: Lease, keep: Option<Duration>) {
+        if lease.sender.is_closed() {
+            return;
+        }
+        let until = Instant::now() + keep.map_or(IDLE, |keep| (keep / 2).min(IDLE));
+        if let Some(host) = self.hosts.borrow_mut().get_mut(&lease.marshal) {
+            // The newest is used first; what the load no longer needs runs out of time at the bottom.
+            let now = Instant::now();
+            host.idle.retain(|idle| idle.until > now && !idle.sender.is_closed());
+            host.idle.push(Idle { sender: lease.sender, until });
+        }
+    }
+
+    /// Drops what belongs to marshals that are gone.
+    pub fn forget(&self, known: impl Fn(u64) -> bool) {
+        self.hosts.borrow_mut().retain(|marshal, _| known(*marshal));
+    }
+}
+
+/// Counts a connection for as long as it lives.
+struct Count(Rc<Cell<usize>>);
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/crates/course/src/course.rs
@@ -0,0 +1,369 @@
+//! Pick, try again, or refuse.
+//!
+//! A marshal's cost is in parts of a request's worth: how late its answer is likely to be against the route's aim, how
+//! often it fails, and what its bytes cost on the way. Two of each reach are drawn by chance and the cheapest is taken, so
+//! that the work for a request does not grow with the fleet.
+
+use crate::budget::Budget;
+use crate::marshal::{Load, Marshal, Reach, Result as Ended};
+use crate::table::{Route, Table};
+use crate::Time;
+use ahash::RandomState;
+use hashbrown::HashMap;
+use milletwing_ledger::{Phase, View};
+use milletwing_tenet::settings::Guarantees;
+use milletwing_tenet::{Configuration, Kind};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Where this edge is.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Its address as a number.
+    pub id: u32,
+    /// Its zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+    /// The region of each zone.
+    pub zones: BTreeMap<String, String>,
+}
+
+/// A request under way.
+#[derive(Debug)]
+pub struct Ticket {
+    /// Its route.
+    pub route: Rc<Route>,
+    /// The service drawn for it.
+    pub service: Rc<str>,
+    /// No answer counts after this.
+    pub deadline: Time,
+    /// Marshals that it doesn't go to again.
+    tried: Vec<u64>,
+    /// Marshals that it was sent to.
+    sent: u32,
+    /// Marshals that it was offered to without a byte being sent.
+    missed: u32,
+    /// It may have run somewhere.
+    pub ran: bool,
+}
+
+/// One sending.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sending {
+    /// To be given back.
+    pub marshal: u64,
+    /// The marshal's life.
+    pub id: Rc<str>,
+    /// Where it listens.
+    pub address: SocketAddrV4,
+    /// When it was picked.
+    pub at: Time,
+    /// Connections that this edge may hold to it.
+    pub connections: usize,
+}
+
+#[derive(Debug)]
+struct Service {
+    /// Marshals by reach.
+    reach: [Vec<u64>; 3],
+    budget: Budget,
+    /// Milliseconds of an answer, by route.
+    usual: f64,
+    connections: u32,
+}
+
+/// What crossing costs for each kilobyte, in parts of a request's worth: between zones, between regions. Ours: links
+/// between regions are dear everywhere, those between zones a little.
+const CROSSING: [f64; 3] = [0.0, 0.002, 0.015];
+/// Milliseconds that crossing takes, until it has been felt.
+const AWAY: [f64; 3] = [0.0, 1.0, 40.0];
+/// Requests at a marshal, as a multiple of what it works on at once, beyond which it is left alone.
+const DEEP: f64 = 3.0;
+/// Further tries: our part of the ratio and of the slack, the rest is for what counting by parts misses.
+const BUDGET_PART: f64 = 0.75;
+/// Connections to a marshal that can't be made, one after the other, before the request is given up.
+const MISSES: u32 = 3;
+
+/// What an edge decides by.
+#[derive(Debug)]
+pub struct Course {
+    place: Place,
+    bounds: Guarantees,
+    table: Table,
+    of: Option<Arc<Configuration>>,
+    marshals: HashMap<u64, Marshal, RandomState>,
+    keys: HashMap<String, u64, RandomState>,
+    next: u64,
+    services: HashMap<Rc<str>, Service, RandomState>,
+    /// Kilobytes of an answer, by route.
+    weight: HashMap<String, f64, RandomState>,
+    edges: f64,
+    chance: Pcg64Mcg,
+}
+
+impl Course {
+    /// Knows nothing yet.
+    pub fn new(place: Place, bounds: Guarantees, seed: u64) -> Course {
+        Course {
+            place,
+            bounds,
+            table: Table::default(),
+            of: None,
+            marshals: HashMap::default(),
+            keys: HashMap::default(),
+            next: 0,
+            services: HashMap::default(),
+            weight: HashMap::default(),
+            edges: 8.0,
+            chance: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Whether there is a configuration.
+    pub fn ready(&self) -> bool {
+        self.of.is_some()
+    }
+
+    /// The configuration in force here.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.of.as_ref()
+    }
+
+    /// Whether a marshal is still known.
+    pub fn knows(&self, marshal: u64) -> bool {
+        self.marshals.contains_key(&marshal)
+    }
+
+    /// How many edges take traffic.
+    pub fn edges(&mut self, count: u32) {
+        // Fewer are not believed at once: those that are not heard may still send.
+        let count = f64::from(count.max(1));
+        self.edges = if count >= self.edges { count } else { self.edges + 0.02 * (count - self.edges) };
+    }
+
+    /// Takes what the core has agreed.
+    pub fn refresh(&mut self, now: Time, view: &View) {
+        if let Some(configuration) = view.configuration() {
+            if self.of.as_ref().is_none_or(|of| !Arc::ptr_eq(of, configuration)) {
+                self.table = Table::new(configuration);
+                self.of = Some(Arc::clone(configuration));
+                self.weight.retain(|name, _| configuration.routing.contains_key(name));
+            }
+        }
+        let gone: Vec<String> =
+            self.keys.keys().filter(|id| !view.nodes.contains_key(id.as_str())).cloned().collect();
+        for id in gone {
+            if let Some(key) = self.keys.remove(&id) {
+                self.marshals.remove(&key);
+            }
+        }
+        let window = (self.bounds.retryWindowS * 1000.0) as Time;
+        for service in self.services.values_mut() {
+            service.reach.iter_mut().for_each(Vec::clear);
+        }
+        for (id, node) in &view.nodes {
+            let key = match self.keys.get(id) {
+                Some(key) => *key,
+                None => {
+                    self.next += 1;
+                    self.keys.insert(id.clone(), self.next);
+                    self.next
+                }
+            };
+            let region = self.place.zones.get(&node.zone).map_or(node.zone.as_str(), String::as_str);
+            let reach = if node.zone == self.place.zone {
+                Reach::Zone
+            } else if region == self.place.region {
+                Reach::Region
+            } else {
+                Reach::Far
+            };
+            let marshal = self.marshals.entry(key).or_insert_with(|| Marshal::new(node, region, reach, now));
+            marshal.phase(&node.phase, self.place.id);
+            marshal.open = node.phase != Phase::Draining
+                && !view.evacuated.contains(&node.zone)
+                && view.in_service(node);
+            let sessions =
+                self.of.as_ref().and_then(|it| it.targets.get(&node.target)).map_or(64, |it| it.max_sessions);
+            let service = self.services.entry(Rc::from(node.target.as_str())).or_insert_with(|| Service {
+                reach: Default::default(),
+                budget: Budget::new(window),
+                usual: 50.0,
+                connections: sessions,
+            });
+            service.connections = sessions;
+            service.reach[reach as usize].push(key);
+        }
+    }
+
+    /// A request came. `remaining`: milliseconds for which the client waits.
+    pub fn arrive(
+        &mut self,
+        now: Time,
+        host: &str,
+        path: &str,
+        remaining: Option<u64>,
+    ) -> Result<Ticket, Kind> {
+        if self.of.is_none() {
+            return Err(Kind::NotReady);
+        }
+        let route = self.table.find(host, path).ok_or(Kind::NoRoute)?;
+        let route = Rc::clone(route);
+        let service = Rc::clone(route.service(self.chance.random()).ok_or(Kind::NoMarshal)?);
+        if let Some(service) = self.services.get_mut(&service) {
+            service.budget.request(now);
+        }
+        let hold = remaining.unwrap_or(u64::MAX).min(route.guard);
+        Ok(Ticket { deadline: now + hold, route, service, tried: Vec::new(), sent: 0, missed: 0, ran: false })
+    }
+
+    /// Picks a marshal for a first sending, or for a further one.
+    pub fn pick(&mut self, now: Time, ticket: &mut Ticket) -> Result<Sending, Kind> {
+        if now >= ticket.deadline {
+            return Err(if ticket.ran { Kind::Silent } else { Kind::Expired });
+        }
+        let Some(service) = self.services.get_mut(&ticket.service) else { return Err(Kind::NoMarshal) };
+        let repeatable = ticket.route.class.repeatable();
+        let kilobytes = self.weight.get(&ticket.route.name).copied().unwrap_or(4.0);
+        let target = ticket.route.target as f64;
+        let mut best: Option<(f64, u64)> = None;
+        let mut full = false;
+        let marshals = &mut self.marshals;
+        let usual = service.usual;
+        let mut weigh = |key: u64, best: &mut Option<(f64, u64)>, full: &mut bool| {
+            let Some(marshal) = marshals.get_mut(&key) else { return };
+            let home = ticket.route.regions.is_empty() || ticket.route.regions.contains(&marshal.region);
+            if !home || ticket.tried.contains(&key) || !marshal.takes(now, repeatable) {
+                return;
+            }
+            if marshal.jobs(now) >= DEEP * marshal.capacity {
+                *full = true;
+                return;
+            }
+            let reach = marshal.reach as usize;
+            let away = if marshal.mean > 0.0 { 0.0 } else { AWAY[reach] };
+            let late = (marshal.wait(now, usual) + away) / target;
+            let cost = late.min(2.0) * late.min(2.0) + marshal.failing(now) + CROSSING[reach] * kilobytes;
+            if best.is_none_or(|(least, _)| cost < least) {
+                *best = Some((cost, key));
+            }
+        };
+        for reach in &service.reach {
+            if reach.len() <= 2 {
+                reach.iter().for_each(|key| weigh(*key, &mut best, &mut full));
+            } else {
+                let first = self.chance.random_range(0..reach.len());
+                let other = (first + self.chance.random_range(1..reach.len())) % reach.len();
+                weigh(reach[first], &mut best, &mut full);
+                weigh(reach[other], &mut best, &mut full);
+            }
+        }
+        if best.is_none() {
+            // None of those drawn may be sent to: look at all.
+            service.reach.iter().flatten().for_each(|key| weigh(*key, &mut best, &mut full));
+        }
+        let Some((_, key)) = best else {
+            let none = if full { Kind::Full } else { Kind::NoMarshal };
+            return Err(if ticket.ran { Kind::Broken } else { none });
+        };
+        if ticket.sent > 0 {
+            let ratio = self.bounds.retryBudgetRatio * BUDGET_PART;
+            let slack = self.bounds.retrySlack * BUDGET_PART / (self.edges + 2.0);
+            if !service.budget.take(now, ratio, slack) {
+                return Err(if ticket.ran { Kind::Broken } else { Kind::TurnedAway });
+            }
+        }
+        // All edges together stay under what a marshal accepts; a tenth is for those not heard of yet.
+        let connections = (f64::from(service.connections) * 0.9 / (self.edges + 1.0)).max(1.0) as usize;
+        let Some(marshal) = self.marshals.get_mut(&key) else { return Err(Kind::NoMarshal) };
+        marshal.send(now);
+        ticket.tried.push(key);
+        ticket.sent += 1;
+        Ok(Sending {
+            marshal: key,
+            id: Rc::clone(&marshal.id),
+            address: marshal.address,
+            at: now,
+            connections,
+        })
+    }
+
+    /// What came of a sending. Gives the milliseconds for which the marshal is avoided from now on, if it is.
+    pub fn ended(
+        &mut self,
+        now: Time,
+        ticket: &mut Ticket,
+        sending: &Sending,
+        result: Ended,
+        load: Option<Load>,
+    ) -> Option<Time> {
+        match result {
+            Ended::Unreached | Ended::Unsent => {
+                // Nothing arrived there: it is no try, though the same one isn't asked again.
+                ticket.missed += 1;
+                ticket.sent = ticket.sent.saturating_sub(1);
+                if result == Ended::Unsent {
+                    ticket.tried.retain(|key| *key != sending.marshal);
+                }
+            }
+            Ended::Broken | Ended::Silent | Ended::Failed | Ended::Dropped => ticket.ran = true,
+            Ended::Served | Ended::TurnedAway | Ended::Moved => {}
+        }
+        let took = now.saturating_sub(sending.at);
+        if result == Ended::Served {
+            if let Some(service) = self.services.get_mut(&ticket.service) {
+                service.usual += 0.02 * (took as f64 - service.usual);
+            }
+        }
+        self.marshals.get_mut(&sending.marshal)?.end(now, result, took, load)
+    }
+
+    /// A client left while a sending was out.
+    pub fn dropped(&mut self, now: Time, sending: &Sending) {
+        if let Some(marshal) = self.marshals.get_mut(&sending.marshal) {
+            marshal.end(now, Ended::Dropped, 0, None);
+        }
+    }
+
+    /// Whether a request may be sent once more after this end of a sending.
+    pub fn again(&self, now: Time, ticket: &Ticket, result: Ended) -> bool {
+        let certain = matches!(result, Ended::TurnedAway | Ended::Moved | Ended::Unreached | Ended::Unsent);
+        // Guards against running twice: what is not repeatable goes on only where it certainly has not run.
+        let may =
+            if ticket.route.class.repeatable() { result != Ended::Served } else { certain && !ticket.ran };
+        let tries = ticket.sent < ticket.route.tries;
+        may && tries && ticket.missed <= MISSES && now < ticket.deadline
+    }
+
+    /// Milliseconds after which a repeatable request without an answer is sent to a second marshal as well.
+    pub fn patience(&self, ticket: &Ticket, sending: &Sending) -> Option<Time> {
+        if !ticket.route.class.repeatable() || ticket.sent >= ticket.route.tries {
+            return None;
+        }
+        let mean = self.marshals.get(&sending.marshal).map_or(0.0, |marshal| marshal.mean);
+        let usual = self.services.get(&ticket.service).map_or(50.0, |service| service.usual);
+        Some((ticket.route.target as f64 * 0.6).max(4.0 * mean.max(usual)) as Time)
+    }
+
+    /// An answer of a route had so many bytes.
+    pub fn weighed(&mut self, route: &Route, bytes: u64) {
+        let kilobytes = bytes as f64 / 1024.0;
+        match self.weight.get_mut(&route.name) {
+            Some(mean) => *mean += 0.05 * (kilobytes - *mean),
+            None => {
+                self.weight.insert(route.name.clone(), kilobytes);
+            }
+        }
+    }
+
+    /// Seconds after which a refused client should come back: spread, so that not all return at once.
+    pub fn back(&mut self, route: Option<&Route>) -> f64 {
+        let target = route.map_or(0.5, |route| route.target as f64 / 1000.0);
+        target * self.chance.random_range(0.15..0.6)
+    }
+}
--- /dev/null
+++ b/crates/course/src/marshal.rs
@@ -0,0 +1,223 @@
+//! What an edge knows of one marshal: its place, its load as told and as felt, how fast it is, how often it fails.
+
+use crate::Time;
+use milletwing_ledger::{Node, Phase};
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+/// A marshal's word on its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+}
+
+impl Load {
+    /// From `running,waiting,slots`.
+    pub fn read(text: &str) -> Option<Load> {
+        let mut parts = text.split(',').map(|part| part.trim().parse().ok());
+        Some(Load { running: parts.next()??, waiting: parts.next()?? })
+    }
+}
+
+/// What came of one sending.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Result {
+    /// A whole answer.
+    Served,
+    /// An answer of its own that tells of a failure: it ran.
+    Failed,
+    /// Certainly not run: it said so.
+    TurnedAway,
+    /// Certainly not run: another life has the address.
+    Moved,
+    /// Nothing was sent: no connection came up.
+    Unreached,
+    /// Nothing was sent: the connection had ended.
+    Unsent,
+    /// It may have run: the connection broke, or bytes came that are no answer.
+    Broken,
+    /// It may have run: no answer in its time.
+    Silent,
+    /// The client left, or another marshal was faster.
+    Dropped,
+}
+
+/// How near a marshal is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reach {
+    /// The edge's zone.
+    Zone,
+    /// Its region.
+    Region,
+    /// Beyond.
+    Far,
+}
+
+/// Milliseconds in which half of what was felt of failures fades.
+const FADE: f64 = 4_000.0;
+/// Milliseconds for which a told load is believed; it then fades.
+const TOLD: f64 = 400.0;
+/// The first and the longest time for which one that can't be reached is avoided, in milliseconds.
+const AVOID: (Time, Time) = (400, 3_200);
+
+/// One marshal.
+#[derive(Debug)]
+pub struct Marshal {
+    /// Its life.
+    pub id: Rc<str>,
+    /// Where it listens.
+    pub address: SocketAddrV4,
+    /// Its zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+    /// Requests at once.
+    pub capacity: f64,
+    /// How near it is.
+    pub reach: Reach,
+    /// May be sent to as far as its zone, version and phase go.
+    pub open: bool,
+    /// What this edge may send in any second while it is cold; none: no such bound.
+    pub part: Option<u32>,
+    /// When this edge sent to it, within the last second while it is cold.
+    sent: VecDeque<Time>,
+    /// Out from this edge.
+    pub out: u32,
+    /// Told: requests of others there, and when.
+    told: (f64, Time),
+    /// Mean milliseconds of an answer, 0: unknown.
+    pub mean: f64,
+    /// Felt share of failures, and when it was brought up to date.
+    bad: (f64, Time),
+    /// Avoided until then, how often in a row, and whether a first request is out after that.
+    avoid: (Time, u32),
+    trying: bool,
+    /// When it first took its part, for those that were never tried.
+    pub since: Time,
+}
+
+impl Marshal {
+    /// Of a life.
+    pub fn new(node: &Node, region: &str, reach: Reach, now: Time) -> Marshal {
+        Marshal {
+            id: Rc::from(node.id.as_str()),
+            address: node.address,
+            zone: node.zone.clone(),
+            region: region.into(),
+            capacity: f64::from(node.capacity.max(1)),
+            reach,
+            open: false,
+            part: None,
+            sent: VecDeque::new(),
+            out: 0,
+            told: (0.0, 0),
+            mean: 0.0,
+            bad: (0.0, now),
+            avoid: (0, 0),
+            trying: false,
+            since: now,
+        }
+    }
+
+    /// Its phase, as an edge of this number sees it.
+    pub fn phase(&mut self, phase: &Phase, own: u32) {
+        self.part = match phase {
+            Phase::Cold(deal) => Some(deal.iter().find(|(id, _)| *id == own).map_or(0, |(_, part)| *part)),
+            Phase::Warm | Phase::Draining => None,
+        };
+    }
+
+    /// Whether it may be sent a request now. `first`: it may run twice, so that a marshal that failed may be tried by it.
+    pub fn takes(&mut self, now: Time, first: bool) -> bool {
+        if !self.open || now < self.avoid.0 {
+            return false;
+        }
+        // After it could not be reached, one request at a time finds out, and none that may not run twice.
+        if self.avoid.1 > 0 && (self.trying || !first) {
+            return false;
+        }
+        if let Some(part) = self.part {
+            while self.sent.front().is_some_and(|at| at + 1_000 <= now) {
+                self.sent.pop_front();
+            }
+            return self.sent.len() < part as usize;
+        }
+        true
+    }
+
+    /// Requests there: own, and others' as told.
+    pub fn jobs(&self, now: Time) -> f64 {
+        let age = now.saturating_sub(self.told.1) as f64;
+        let weight = if age <= TOLD { 1.0 } else { (0.5f64).powf((age - TOLD) / TOLD) };
+        f64::from(self.out) + self.told.0 * weight
+    }
+
+    /// Expected milliseconds until it answers, where `usual` is what a marshal of its service takes.
+    pub fn wait(&self, now: Time, usual: f64) -> f64 {
+        let mean = if self.mean > 0.0 { self.mean } else { usual };
+        let jobs = self.jobs(now);
+        let queue = (jobs + 1.0 - self.capacity).max(0.0) / self.capacity;
+        // Short of full, each job there makes a wait a little more likely; some also slow down.
+        mean * (1.0 + queue + 0.25 * (jobs / self.capacity).min(1.0))
+    }
+
+    /// Felt share of failures.
+    pub fn failing(&self, now: Time) -> f64 {
+        self.bad.0 * (0.5f64).powf(now.saturating_sub(self.bad.1) as f64 / FADE)
+    }
+
+    fn feel(&mut self, now: Time, bad: f64) {
+        let before = self.failing(now);
+        self.bad = (before + 0.1 * (bad - before), now);
+    }
+
+    /// A request goes there.
+    pub fn send(&mut self, now: Time) {
+        self.out += 1;
+        if self.part.is_some() {
+            self.sent.push_back(now);
+        }
+        self.trying = self.avoid.1 > 0;
+    }
+
+    /// What came of it. Gives the milliseconds for which it is avoided, where that begins.
+    pub fn end(&mut self, now: Time, result: Result, took: Time, load: Option<Load>) -> Option<Time> {
+        self.out = self.out.saturating_sub(1);
+        self.trying = false;
+        if let Some(load) = load {
+            let others = f64::from(load.running + load.waiting) - f64::from(self.out) - 1.0;
+            self.told = (others.max(0.0), now);
+        }
+        match result {
+            Result::Served => {
+                self.avoid = (0, 0);
+                let took = (took as f64).max(0.5);
+                self.mean = if self.mean > 0.0 { self.mean + 0.1 * (took - self.mean) } else { took };
+                self.feel(now, 0.0);
+            }
+            Result::Failed => {
+                self.avoid = (0, 0);
+                self.feel(now, 1.0);
+            }
+            Result::TurnedAway => {
+                // Full: others send there as well.
+                self.avoid = (0, 0);
+                self.told = (self.told.0.max(2.0 * self.capacity), now);
+            }
+            Result::Broken => self.feel(now, 1.0),
+            Result::Moved | Result::Unreached | Result::Silent => {
+                self.feel(now, 1.0);
+                let times = self.avoid.1.min(8);
+                let span = if result == Result::Moved { AVOID.1 } else { (AVOID.0 << times).min(AVOID.1) };
+                self.avoid = (now + span, times + 1);
+                return Some(span);
+            }
+            Result::Unsent | Result::Dropped => {}
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/course/src/table.rs
@@ -0,0 +1,91 @@
+//! Finds the route of a request: its host's, the longest prefix first.
+
+use ahash::RandomState;
+use hashbrown::HashMap;
+use milletwing_tenet::configuration::Class;
+use milletwing_tenet::Configuration;
+use std::rc::Rc;
+
+/// A route as requests need it.
+#[derive(Debug, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// How the path begins.
+    pub prefix: String,
+    /// What may be done with its requests.
+    pub class: Class,
+    /// Milliseconds for which a request may be held.
+    pub guard: u64,
+    /// Milliseconds inside which an answer earns its full worth.
+    pub target: u64,
+    /// 0 is highest.
+    pub priority: i64,
+    /// Services, and the shares up to and with each.
+    pub shares: Vec<(Rc<str>, f64)>,
+    /// Marshals that one request may be sent to.
+    pub tries: u32,
+    /// Regions in which it may be served; none: all.
+    pub regions: Vec<String>,
+}
+
+impl Route {
+    /// The service for a draw from 0 to below 1.
+    pub fn service(&self, draw: f64) -> Option<&Rc<str>> {
+        let whole = self.shares.last().map_or(0.0, |(_, upto)| *upto);
+        self.shares.iter().find(|(_, upto)| draw * whole < *upto).map(|(service, _)| service)
+    }
+}
+
+/// All routes.
+#[derive(Debug, Default)]
+pub struct Table {
+    hosts: HashMap<String, Vec<Rc<Route>>, RandomState>,
+}
+
+impl Table {
+    /// Of a configuration.
+    pub fn new(configuration: &Configuration) -> Table {
+        let mut table = Table::default();
+        for (name, route) in &configuration.routing {
+            let Some(class) = route.class() else { continue };
+            let mut upto = 0.0;
+            let shares = route.shares().into_iter().map(|(service, share)| {
+                upto += share;
+                (Rc::from(service), upto)
+            });
+            let shares = shares.collect();
+            let own = Route {
+                name: name.clone(),
+                prefix: route.path_prefix.clone(),
+                class,
+                guard: (route.guard_s * 1000.0) as u64,
+                target: ((route.target_s * 1000.0) as u64).max(1),
+                priority: route.priority,
+                shares,
+                tries: route.max_tries.max(1),
+                regions: route.serving_regions.clone(),
+            };
+            table.hosts.entry(host(&route.domain)).or_default().push(Rc::new(own));
+        }
+        for routes in table.hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        table
+    }
+
+    /// The route of a host and a path.
+    pub fn find(&self, given: &str, path: &str) -> Option<&Rc<Route>> {
+        let routes = match self.hosts.get(given) {
+            Some(routes) => routes,
+            None => self.hosts.get(&host(given))?,
+        };
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+}
+
+/// A host as it is compared: without its port, in small letters.
+fn host(given: &str) -> String {
+    let name = given.rsplit_once(':').filter(|(_, port)| port.bytes().all(|it| it.is_ascii_digit()));
+    name.map_or(given, |(name, _)| name).trim_end_matches('.').to_ascii_lowercase()
+}
--- a/crates/group-server/src/store.rs
+++ b/crates/group-server/src/store.rs
@@ -2,51 +2,32 @@
 //! value has a checksum; a store that is damaged, another member's or of a newer format is told, never repaired.
 
 use crate::settings::{Keep, Settings};
+use milletwing_archive::{number, Archive, Fault};
 use milletwing_group::log::{Batch, Stored};
 use milletwing_group::member::founding;
 use milletwing_group::MemberId;
-use redb::backends::InMemoryBackend;
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use std::path::Path;
 
 /// The format of the store; a later one is refused.
 pub const FORMAT: u64 = 1;
 
-const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
-const ENTRIES: TableDefinition<u64, &[u8]> = TableDefinition::new("entries");
+/// Bytes of pages in memory.
+const CACHE: usize = 16 << 20;
 
 /// A store that is open.
 pub struct Store {
-    base: Database,
+    base: Archive,
     /// What it is known by: drawn when it was made.
     pub id: u128,
     /// New with each opening.
     pub series: u64,
 }
 
-fn sealed(value: &[u8]) -> Vec<u8> {
-    let mut out = crc32fast::hash(value).to_be_bytes().to_vec();
-    out.extend_from_slice(value);
-    out
-}
-
-fn unsealed(what: &str, bytes: &[u8]) -> Result<Vec<u8>, String> {
-    let (sum, value) = bytes.split_at_checked(4).ok_or_else(|| format!("{what} is torn"))?;
-    let fits = crc32fast::hash(value).to_be_bytes() == sum;
-    fits.then(|| value.to_vec()).ok_or_else(|| format!("{what} does not fit its checksum"))
-}
-
-fn number(bytes: Vec<u8>) -> u64 {
-    <[u8; 8]>::try_from(bytes.as_slice()).map_or(0, u64::from_be_bytes)
-}
-
-type Fault = Box<dyn std::error::Error>;
-
 impl Store {
-    fn base(keep: &Keep) -> Result<Database, String> {
+    fn base(keep: &Keep) -> Result<Archive, String> {
         match keep {
-            Keep::Memory => Database::builder().create_with_backend(InMemoryBackend::new()),
-            Keep::File(path) => Database::create(path),
+            Keep::Memory => Archive::memory(),
+            Keep::File(path) => Archive::file(path, CACHE),
         }
         .map_err(|problem| problem.to_string())
     }
@@ -70,22 +51,19 @@
         Store::fill(&base, settings, found).map_err(|why| format!("store {}: {why}", path.display()))
     }
 
-    fn fill(base: &Database, settings: &Settings, found: bool) -> Result<(), Fault> {
+    fn fill(base: &Archive, settings: &Settings, found: bool) -> Result<(), Fault> {
         let stored = if found { founding(&settings.members) } else { Stored::default() };
-        let write = base.begin_write()?;
-        {
-            let mut meta = write.open_table(META)?;
-            write.open_table(ENTRIES)?;
-            let mut put = |name: &str, value: &[u8]| meta.insert(name, sealed(value).as_slice()).map(drop);
-            put("format", &FORMAT.to_be_bytes())?;
-            put("group", settings.group.as_bytes())?;
-            put("member", &settings.member.to_be_bytes())?;
-            put("store", &rand::random::<u128>().to_be_bytes())?;
-            stored.hard.iter().try_for_each(|hard| put("hard", hard))?;
-            stored.snapshot.iter().try_for_each(|snapshot| put("snapshot", snapshot))?;
-        }
-        write.commit()?;
-        Ok(())
+        let (format, member) = (FORMAT.to_be_bytes(), settings.member.to_be_bytes());
+        let id = rand::random::<u128>().to_be_bytes();
+        let mut fields: Vec<(&str, &[u8])> = vec![
+            ("format", &format),
+            ("group", settings.group.as_bytes()),
+            ("member", &member),
+            ("store", &id),
+        ];
+        fields.extend(stored.hard.iter().map(|hard| ("hard", hard.as_slice())));
+        fields.extend(stored.snapshot.iter().map(|snapshot| ("snapshot", snapshot.as_slice())));
+        base.put(&fields)
     }
 
     /// Opens the store of a member. Errors are for operators.
@@ -139,15 +117,10 @@
 
     /// What it holds, if it is this member's. The outer error is a fault of the store, the inner one of its use.
     #[allow(clippy::type_complexity)]
-    fn check(base: &Database, settings: &Settings) -> Result<Result<(u128, Stored), String>, Fault> {
-        let read = base.begin_read()?;
-        let meta = read.open_table(META)?;
-        let get = |name: &str| -> Result<Option<Vec<u8>>, Fault> {
-            let value = meta.get(name)?;
-            Ok(value.map(|value| unsealed(name, value.value())).transpose()?)
+    fn check(base: &Archive, settings: &Settings) -> Result<Result<(u128, Stored), String>, Fault> {
+        let needed = |name: &str| -> Result<Vec<u8>, Fault> {
+            Ok(base.field(name)?.ok_or(format!("{name} is missing"))?)
         };
-        let needed =
-            |name: &str| -> Result<Vec<u8>, Fault> { Ok(get(name)?.ok_or(format!("{name} is missing"))?) };
         let format = number(needed("format")?);
         if format != FORMAT {
             return Ok(Err(format!("the store has format {format}; this version reads format {FORMAT}")));
@@ -161,54 +134,17 @@
             return Ok(Err(format!("the store belongs to member {member}, not to {}", settings.member)));
         }
         let id = <[u8; 16]>::try_from(needed("store")?.as_slice()).map_or(0, u128::from_be_bytes);
-        let mut stored = Stored { hard: get("hard")?, snapshot: get("snapshot")?, entries: Vec::new() };
-        for entry in read.open_table(ENTRIES)?.iter()? {
-            let (index, bytes) = entry?;
-            stored.entries.push(unsealed(&format!("entry {}", index.value()), bytes.value())?);
-        }
-        Ok(Ok((id, stored)))
+        Ok(Ok((id, base.load()?)))
     }
 
-    fn begin(base: &Database) -> Result<u64, Fault> {
-        let write = base.begin_write()?;
-        let series = {
-            let mut meta = write.open_table(META)?;
-            let before = meta.get("series")?.map(|value| unsealed("series", value.value())).transpose()?;
-            let series = before.map_or(0, number) + 1;
-            meta.insert("series", sealed(&series.to_be_bytes()).as_slice())?;
-            series
-        };
-        write.commit()?;
+    fn begin(base: &Archive) -> Result<u64, Fault> {
+        let series = base.field("series")?.map_or(0, number) + 1;
+        base.put(&[("series", &series.to_be_bytes())])?;
         Ok(series)
     }
 
     /// Writes and syncs. After an error nothing more may be sent that depends on it.
     pub fn write(&self, batch: &Batch) -> Result<(), String> {
-        if batch.is_empty() {
-            return Ok(());
-        }
-        let written = || -> Result<(), Fault> {
-            let write = self.base.begin_write()?;
-            {
-                let mut meta = write.open_table(META)?;
-                let mut entries = write.open_table(ENTRIES)?;
-                if let Some(hard) = &batch.hard {
-                    meta.insert("hard", sealed(hard).as_slice())?;
-                }
-                if let Some((from, _)) = batch.entries.first() {
-                    entries.retain(|index, _| index < *from)?;
-                }
-                for (index, bytes) in &batch.entries {
-                    entries.insert(index, sealed(bytes).as_slice())?;
-                }
-                if let Some((snapshot, from)) = &batch.snapshot {
-                    meta.insert("snapshot", sealed(snapshot).as_slice())?;
-                    entries.retain(|index, _| index >= *from)?;
-                }
-            }
-            write.commit()?;
-            Ok(())
-        };
-        written().map_err(|problem| problem.to_string())
+        self.base.write(batch).map_err(|problem| problem.to_string())
     }
 }
--- a/crates/group/src/log.rs
+++ b/crates/group/src/log.rs
@@ -4,34 +4,7 @@
 use raft::prelude::{ConfState, Entry, HardState, Snapshot};
 use raft::{Error, GetEntriesContext, RaftState, Storage, StorageError};
 
-/// What must be on the disk before any message that depends on it leaves. Empty parts change nothing.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Batch {
-    /// Term, vote and commit.
-    pub hard: Option<Vec<u8>>,
-    /// Entries by index; whatever stands from the first one's index on is replaced.
-    pub entries: Vec<(u64, Vec<u8>)>,
-    /// A snapshot, and the first index that is kept behind it.
-    pub snapshot: Option<(Vec<u8>, u64)>,
-}
-
-impl Batch {
-    /// Whether there is nothing to write.
-    pub fn is_empty(&self) -> bool {
-        self.hard.is_none() && self.entries.is_empty() && self.snapshot.is_none()
-    }
-}
-
-/// What a store gives back at a start, in the bytes that it was given.
-#[derive(Clone, Debug, Default)]
-pub struct Stored {
-    /// Term, vote and commit.
-    pub hard: Option<Vec<u8>>,
-    /// Entries in the order of their index.
-    pub entries: Vec<Vec<u8>>,
-    /// The snapshot before them.
-    pub snapshot: Option<Vec<u8>>,
-}
+pub use milletwing_accord::{Batch, Stored};
 
 /// The mirror.
 #[derive(Clone, Debug, Default)]
--- /dev/null
+++ b/crates/ledger/src/command.rs
@@ -0,0 +1,73 @@
+//! What an entry of the log says.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddrV4;
+
+/// Who may send a cold marshal how much: an edge's number, and requests in any second. Who is not named sends nothing.
+pub type Deal = Vec<(u32, u32)>;
+
+/// How far a marshal is.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Phase {
+    /// Bears little: only what is dealt out.
+    Cold(Deal),
+    /// Takes its part.
+    Warm,
+    /// Leaves: nothing new goes there.
+    Draining,
+}
+
+/// A marshal's life.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Node {
+    /// New with each start.
+    pub id: String,
+    /// Its service.
+    pub target: String,
+    /// Where it listens.
+    pub address: SocketAddrV4,
+    /// Its zone.
+    pub zone: String,
+    /// The version of its software.
+    pub revision: String,
+    /// Requests that it works on at once.
+    pub capacity: u32,
+    /// How far it is.
+    pub phase: Phase,
+}
+
+/// An entry.
+#[allow(missing_docs)] // each variant's line says what its fields are
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// A configuration, as it was sent, on top of a revision.
+    Configure { if_match: u64, body: Vec<u8> },
+    /// A marshal's life begins.
+    NodeUp(Node),
+    /// It leaves, as it said itself.
+    NodeDrains { id: String },
+    /// It is gone: it said so, or it is silent.
+    NodeGone { id: String, silent: bool },
+    /// It takes its part from now on.
+    NodeWarm { id: String },
+    /// It has turned cold.
+    NodeCold { id: String, deal: Deal },
+    /// A zone is emptied; or taken back, its marshals cold until they are known to be warm.
+    Evacuate { zone: String, on: bool, deals: Vec<(String, Deal)> },
+    /// A version is to be brought in, within so many milliseconds.
+    RollOut { service: String, revision: String, period_ms: u64 },
+    /// A roll-out ends: the new version stays, or goes back.
+    Settle { service: String, number: u64, good: bool },
+}
+
+impl Command {
+    /// Its bytes.
+    pub fn bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default() // plain values can't fail
+    }
+
+    /// From its bytes. The error says what doesn't fit.
+    pub fn read(bytes: &[u8]) -> Result<Command, String> {
+        postcard::from_bytes(bytes).map_err(|problem| format!("entry: {problem}"))
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,10 @@
+//! What the core has agreed. `command` is what an entry of the log says, `view` the state folded from all of them, on core
+//! and edge by the same code, and `registry` how beats of marshals become entries. No I/O: time is handed in.
+
+pub mod command;
+pub mod registry;
+pub mod view;
+
+pub use command::{Command, Deal, Node, Phase};
+pub use registry::{Beat, Heard, Registry};
+pub use view::{Outcome, RollOut, State, View};
--- /dev/null
+++ b/crates/ledger/src/registry.rs
@@ -0,0 +1,285 @@
+//! How beats become entries. Each machine of the core keeps one; the leader's decides. What is known already is
+//! acknowledged at once; what changes a marshal's life is an entry first, so that it outlives the machine that heard it.
+
+use crate::command::{Command, Deal, Node, Phase};
+use crate::view::View;
+use milletwing_tenet::Kind;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// A marshal's beat, as the protocol has it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Beat {
+    /// Its service.
+    pub target: String,
+    /// Where it listens.
+    pub address: SocketAddrV4,
+    /// Its zone.
+    pub zone: String,
+    /// Its version.
+    pub revision: String,
+    /// Requests at once.
+    pub capacity: u32,
+    /// `available` or `draining`.
+    pub state: String,
+    /// Seconds for which it stays cold.
+    #[serde(default)]
+    pub warmup_left_s: f64,
+    /// Rises with every call.
+    #[serde(default)]
+    pub call_counter: u64,
+}
+
+impl Beat {
+    /// Reads a beat. The error says what doesn't fit.
+    pub fn read(bytes: &[u8]) -> Result<Beat, Kind> {
+        let beat: Beat = serde_json::from_slice(bytes).map_err(|why| Kind::BadBeat(why.to_string()))?;
+        match beat.state.as_str() {
+            "available" | "draining" if beat.capacity > 0 => Ok(beat),
+            "available" | "draining" => Err(Kind::BadBeat("capacity is 0".into())),
+            other => Err(Kind::BadBeat(format!("state {other}"))),
+        }
+    }
+}
+
+/// What is heard of an edge.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heard {
+    /// Its address as a number.
+    pub id: u32,
+    /// Its zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+    /// Where clients reach it.
+    pub ingress: SocketAddrV4,
+    /// It takes traffic.
+    pub ready: bool,
+    /// New at each start.
+    pub life: u64,
+}
+
+/// What to do with a beat.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Acknowledge it.
+    Known,
+    /// Acknowledge it once this entry is committed.
+    Enter(Command),
+}
+
+/// Milliseconds.
+pub type Time = u64;
+
+#[derive(Clone, Debug, Default)]
+struct Life {
+    heard: Time,
+    counter: u64,
+    /// Cold until then, as far as this machine knows; `held`: whatever its beats say.
+    cold: Option<Time>,
+    held: bool,
+}
+
+/// Beats and edges as one machine of the core has heard of them.
+#[derive(Debug, Default)]
+pub struct Registry {
+    lives: BTreeMap<String, Life>,
+    edges: BTreeMap<u32, (Heard, Time)>,
+    /// Ids heard since they were told to the others.
+    fresh: Vec<String>,
+}
+
+/// An edge that was not heard for so long isn't in the directory.
+const EDGE_SILENT: Time = 1_500;
+/// Lives remembered at most.
+const LIVES: usize = 16_384;
+
+impl Registry {
+    /// Takes a beat.
+    pub fn beat(&mut self, now: Time, view: &View, id: &str, beat: &Beat) -> Verdict {
+        if self.lives.len() >= LIVES && !self.lives.contains_key(id) {
+            self.lives.retain(|id, _| view.nodes.contains_key(id));
+        }
+        let life = self.lives.entry(id.into()).or_default();
+        life.heard = now;
+        self.fresh.push(id.into());
+        let late = beat.call_counter < life.counter;
+        life.counter = life.counter.max(beat.call_counter);
+        if late || view.has_left(id) {
+            return Verdict::Known;
+        }
+        let left = beat.warmup_left_s.clamp(0.0, 3600.0);
+        let until = now + (left * 1000.0) as Time;
+        let known = view.nodes.get(id);
+        if beat.state == "draining" {
+            return match known {
+                Some(node) if node.phase != Phase::Draining => {
+                    Verdict::Enter(Command::NodeDrains { id: id.into() })
+                }
+                _ => Verdict::Known,
+            };
+        }
+        let Some(node) = known.filter(|node| node.address == beat.address) else {
+            life.cold = Some(until);
+            life.held = false;
+            let phase = if left > 0.0 {
+                Phase::Cold(self.deal(now, view, &beat.target, &beat.zone))
+            } else {
+                Phase::Warm
+            };
+            return Verdict::Enter(Command::NodeUp(Node {
+                id: id.into(),
+                target: beat.target.clone(),
+                address: beat.address,
+                zone: beat.zone.clone(),
+                revision: beat.revision.clone(),
+                capacity: beat.capacity,
+                phase,
+            }));
+        };
+        match &node.phase {
+            Phase::Warm if left > 0.0 => {
+                (life.cold, life.held) = (Some(until), false);
+                let deal = self.deal(now, view, &beat.target, &beat.zone);
+                Verdict::Enter(Command::NodeCold { id: id.into(), deal })
+            }
+            Phase::Cold(_) => {
+                if left > 0.0 {
+                    life.cold = Some(life.cold.unwrap_or(0).max(until));
+                } else if !life.held {
+                    return Verdict::Enter(Command::NodeWarm { id: id.into() });
+                }
+                Verdict::Known
+            }
+            _ => Verdict::Known,
+        }
+    }
+
+    /// A marshal says that it is gone.
+    pub fn leave(&mut self, view: &View, id: &str) -> Verdict {
+        self.lives.remove(id);
+        if view.nodes.contains_key(id) {
+            Verdict::Enter(Command::NodeGone { id: id.into(), silent: false })
+        } else {
+            Verdict::Known
+        }
+    }
+
+    /// An edge was heard of, so many milliseconds ago.
+    pub fn edge(&mut self, now: Time, heard: Heard, ago: Time) {
+        let at = now.saturating_sub(ago);
+        if self.edges.get(&heard.id).is_none_or(|(_, known)| at >= *known) {
+            self.edges.insert(heard.id, (heard, at));
+        }
+    }
+
+    /// All edges with the milliseconds since each was heard.
+    pub fn edges(&self, now: Time) -> impl Iterator<Item = (&Heard, Time)> {
+        self.edges.values().map(move |(heard, at)| (heard, now.saturating_sub(*at)))
+    }
+
+    /// Edges that take traffic and were heard lately.
+    pub fn ready(&self, now: Time) -> Vec<&Heard> {
+        self.edges(now)
+            .filter(|(edge, ago)| edge.ready && *ago <= EDGE_SILENT)
+            .map(|(edge, _)| edge)
+            .collect()
+    }
+
+    /// Drops edges that were silent for long.
+    pub fn forget(&mut self, now: Time) {
+        self.edges.retain(|_, (_, at)| now.saturating_sub(*at) < 60_000);
+    }
+
+    /// Ids of marshals heard since the last call, for the others.
+    pub fn news(&mut self) -> Vec<String> {
+        let mut fresh = std::mem::take(&mut self.fresh);
+        fresh.sort_unstable();
+        fresh.dedup();
+        fresh
+    }
+
+    /// Another machine has heard these marshals.
+    pub fn heard(&mut self, now: Time, ids: &[String]) {
+        for id in ids {
+            self.lives.entry(id.clone()).or_default().heard = now;
+        }
+    }
+
+    /// This machine leads from now on: it knows nothing of how long others were silent, nor how cold they are.
+    pub fn lead(&mut self, now: Time, view: &View, cold_for: &dyn Fn(&str) -> f64) {
+        for node in view.nodes.values() {
+            let life = self.lives.entry(node.id.clone()).or_default();
+            life.heard = now;
+            if let (Phase::Cold(_), None) = (&node.phase, life.cold) {
+                life.cold = Some(now + (cold_for(&node.target) * 1000.0) as Time);
+                life.held = true;
+            }
+        }
+    }
+
+    /// Marshals of a zone that is taken back: cold until their time is over, whatever their beats say, since those may
+    /// have been sent before they turned cold.
+    pub fn take_back(
+        &mut self,
+        now: Time,
+        view: &View,
+        zone: &str,
+        cold_for: &dyn Fn(&str) -> f64,
+    ) -> Command {
+        let mut deals = Vec::new();
+        for node in view.nodes.values().filter(|node| node.zone == zone) {
+            let life = self.lives.entry(node.id.clone()).or_default();
+            life.cold = Some(now + (cold_for(&node.target) * 1000.0) as Time + 500);
+            life.held = true;
+            deals.push((node.id.clone(), self.deal(now, view, &node.target, zone)));
+        }
+        Command::Evacuate { zone: zone.into(), on: false, deals }
+    }
+
+    /// What the leader enters by itself: marshals that have become warm, and silent ones as long as most are heard.
+    pub fn sweep(&mut self, now: Time, view: &View, silence: Time) -> Vec<Command> {
+        let mut out = Vec::new();
+        let silent: Vec<&Node> = view
+            .nodes
+            .values()
+            .filter(|node| {
+                self.lives.get(&node.id).is_some_and(|life| now.saturating_sub(life.heard) > silence)
+            })
+            .collect();
+        // Where most are silent, it is this side that doesn't hear.
+        if silent.len() * 2 <= view.nodes.len() {
+            out.extend(silent.iter().map(|node| Command::NodeGone { id: node.id.clone(), silent: true }));
+        }
+        for node in view.nodes.values() {
+            let life = self.lives.entry(node.id.clone()).or_insert(Life { heard: now, ..Life::default() });
+            if matches!(node.phase, Phase::Cold(_)) && life.cold.is_none_or(|until| now >= until) {
+                out.push(Command::NodeWarm { id: node.id.clone() });
+            }
+        }
+        out
+    }
+
+    /// Deals out what a cold marshal bears: `warmupPerS` in all, to edges that take traffic, near ones first, in whole
+    /// requests a second. The part is given once for each time that it is cold, so that edges that can't be reached any
+    /// more and those that can never have more than this together.
+    pub fn deal(&self, now: Time, view: &View, target: &str, zone: &str) -> Deal {
+        let per_s =
+            view.configuration().and_then(|it| it.targets.get(target)).map_or(0.0, |it| it.warmup_per_s);
+        let whole = per_s.max(0.0) as u32;
+        let ready = self.ready(now);
+        let region = ready.iter().find(|edge| edge.zone == zone).map(|edge| edge.region.clone());
+        let rank = |edge: &&&Heard| (edge.zone != zone, Some(&edge.region) != region.as_ref(), edge.id);
+        let mut near: Vec<&&Heard> = ready.iter().collect();
+        near.sort_by_key(rank);
+        let same = near.iter().filter(|edge| Some(&edge.region) == region.as_ref()).count();
+        near.truncate(same.max(1).min(whole as usize));
+        let count = near.len() as u32;
+        near.iter()
+            .enumerate()
+            .map(|(at, edge)| (edge.id, whole / count + u32::from((at as u32) < whole % count)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/view.rs
@@ -0,0 +1,247 @@
+//! The state folded from the log. The same entries give the same state everywhere.
+
+use crate::command::{Command, Deal, Node, Phase};
+use milletwing_tenet::{Configuration, Kind};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// Configurations remembered, so that one sent again is known as taken.
+const REMEMBERED: usize = 1024;
+/// Marshals that have left remembered, so that a late beat doesn't bring one back.
+const LEFT: usize = 4096;
+
+/// How far a roll-out is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum State {
+    /// Under way.
+    Active,
+    /// The new version has all.
+    Completed,
+    /// The earlier version has all.
+    Reverted,
+}
+
+impl State {
+    /// The protocol's word.
+    pub fn word(self) -> &'static str {
+        match self {
+            State::Active => "active",
+            State::Completed => "completed",
+            State::Reverted => "reverted",
+        }
+    }
+}
+
+/// A roll-out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RollOut {
+    /// The index of its entry.
+    pub number: u64,
+    /// The version brought in.
+    pub to: String,
+    /// Milliseconds that it may take.
+    pub period_ms: u64,
+    /// How far it is.
+    pub state: State,
+}
+
+/// What became of an entry.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// It holds, now or since earlier.
+    Done,
+    /// It doesn't.
+    Refused(Kind),
+}
+
+/// The state.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct View {
+    /// The last entry folded.
+    pub index: u64,
+    /// The configuration's number; 0: none yet.
+    pub revision: u64,
+    /// The configuration as it was sent.
+    pub body: Arc<Vec<u8>>,
+    /// Numbers and digests of those taken, oldest first.
+    taken: VecDeque<(u64, [u8; 32])>,
+    /// Marshals by id.
+    pub nodes: BTreeMap<String, Node>,
+    /// Ids of those that said that they are gone, oldest first.
+    left: VecDeque<String>,
+    /// Zones that are emptied.
+    pub evacuated: BTreeSet<String>,
+    /// The newest roll-out of each service.
+    pub rollouts: BTreeMap<String, RollOut>,
+    /// The version of each service that has its traffic.
+    pub settled: BTreeMap<String, String>,
+    #[serde(skip)]
+    read: Option<Arc<Configuration>>,
+}
+
+impl View {
+    /// Its bytes.
+    pub fn bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default() // plain values can't fail
+    }
+
+    /// From its bytes; from none, the state before any entry.
+    pub fn from_bytes(bytes: &[u8]) -> Result<View, String> {
+        if bytes.is_empty() {
+            return Ok(View::default());
+        }
+        let mut view: View = postcard::from_bytes(bytes).map_err(|problem| format!("state: {problem}"))?;
+        if view.revision > 0 {
+            view.read = Some(Arc::new(Configuration::read(&view.body).map_err(|kind| kind.to_string())?));
+        }
+        Ok(view)
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<&Arc<Configuration>> {
+        self.read.as_ref()
+    }
+
+    /// Whether a life has ended by its own word.
+    pub fn has_left(&self, id: &str) -> bool {
+        self.left.iter().any(|gone| gone == id)
+    }
+
+    /// Folds an entry. What is refused changes nothing but the index.
+    pub fn apply(&mut self, index: u64, command: &Command) -> Outcome {
+        self.index = index;
+        match command {
+            Command::Configure { if_match, body } => self.configure(*if_match, body),
+            Command::NodeUp(node) => self.up(node),
+            Command::NodeDrains { id } => {
+                if let Some(node) = self.nodes.get_mut(id) {
+                    node.phase = Phase::Draining;
+                }
+                Outcome::Done
+            }
+            Command::NodeGone { id, silent } => {
+                self.nodes.remove(id);
+                if !silent {
+                    self.bury(id);
+                }
+                Outcome::Done
+            }
+            Command::NodeWarm { id } => {
+                self.turn(id, Phase::Warm);
+                Outcome::Done
+            }
+            Command::NodeCold { id, deal } => {
+                self.turn(id, Phase::Cold(deal.clone()));
+                Outcome::Done
+            }
+            Command::Evacuate { zone, on, deals } => self.evacuate(zone, *on, deals),
+            Command::RollOut { service, revision, period_ms } => {
+                self.roll_out(index, service, revision, *period_ms)
+            }
+            Command::Settle { service, number, good } => self.settle(service, *number, *good),
+        }
+    }
+
+    fn bury(&mut self, id: &str) {
+        self.left.push_back(id.into());
+        if self.left.len() > LEFT {
+            self.left.pop_front();
+        }
+    }
+
+    /// A marshal that drains stays so.
+    fn turn(&mut self, id: &str, phase: Phase) {
+        if let Some(node) = self.nodes.get_mut(id).filter(|node| node.phase != Phase::Draining) {
+            node.phase = phase;
+        }
+    }
+
+    /// Whether exactly this configuration has been taken, now or earlier.
+    pub fn took(&self, revision: u64, body: &[u8]) -> bool {
+        let digest: [u8; 32] = Sha256::digest(body).into();
+        self.taken.iter().any(|(number, known)| *number == revision && *known == digest)
+    }
+
+    fn configure(&mut self, if_match: u64, body: &[u8]) -> Outcome {
+        let configuration = match Configuration::read(body) {
+            Ok(configuration) => configuration,
+            Err(kind) => return Outcome::Refused(kind),
+        };
+        let revision = configuration.revision;
+        if self.took(revision, body) {
+            return Outcome::Done;
+        }
+        if if_match != self.revision {
+            return Outcome::Refused(Kind::Stale(self.revision));
+        }
+        if revision <= self.revision {
+            return Outcome::Refused(Kind::OldRevision(revision, self.revision));
+        }
+        self.revision = revision;
+        self.body = Arc::new(body.to_vec());
+        self.read = Some(Arc::new(configuration));
+        self.taken.push_back((revision, Sha256::digest(body).into()));
+        if self.taken.len() > REMEMBERED {
+            self.taken.pop_front();
+        }
+        Outcome::Done
+    }
+
+    fn up(&mut self, node: &Node) -> Outcome {
+        if self.has_left(&node.id) || self.nodes.get(&node.id).is_some_and(|it| it.phase == Phase::Draining) {
+            return Outcome::Done; // a late beat
+        }
+        // Another life at the same address means that the earlier one is over.
+        self.nodes.retain(|id, other| other.address != node.address || *id == node.id);
+        self.settled.entry(node.target.clone()).or_insert_with(|| node.revision.clone());
+        self.nodes.insert(node.id.clone(), node.clone());
+        Outcome::Done
+    }
+
+    fn evacuate(&mut self, zone: &str, on: bool, deals: &[(String, Deal)]) -> Outcome {
+        if on {
+            self.evacuated.insert(zone.into());
+        } else if self.evacuated.remove(zone) {
+            // Whatever is not dealt for stays cold without a part: nobody knows whether it is warm.
+            let ids: Vec<String> =
+                self.nodes.values().filter(|node| node.zone == zone).map(|node| node.id.clone()).collect();
+            for id in ids {
+                let deal = deals.iter().find(|(dealt, _)| *dealt == id).map(|(_, deal)| deal.clone());
+                self.turn(&id, Phase::Cold(deal.unwrap_or_default()));
+            }
+        }
+        Outcome::Done
+    }
+
+    fn roll_out(&mut self, index: u64, service: &str, revision: &str, period_ms: u64) -> Outcome {
+        let same = |roll: &RollOut| roll.to == revision && roll.state == State::Active;
+        if self.rollouts.get(service).is_some_and(same) {
+            return Outcome::Done; // the same order again
+        }
+        let state = match self.settled.get(service) {
+            Some(settled) if settled == revision => State::Completed,
+            _ => State::Active,
+        };
+        let roll = RollOut { number: index, to: revision.into(), period_ms, state };
+        self.rollouts.insert(service.into(), roll);
+        Outcome::Done
+    }
+
+    fn settle(&mut self, service: &str, number: u64, good: bool) -> Outcome {
+        let Some(roll) = self.rollouts.get_mut(service) else { return Outcome::Done };
+        if roll.number == number && roll.state == State::Active {
+            roll.state = if good { State::Completed } else { State::Reverted };
+            if good {
+                self.settled.insert(service.into(), roll.to.clone());
+            }
+        }
+        Outcome::Done
+    }
+
+    /// Whether a marshal's version has its service's traffic.
+    pub fn in_service(&self, node: &Node) -> bool {
+        self.settled.get(&node.target).is_none_or(|settled| *settled == node.revision)
+    }
+}
--- /dev/null
+++ b/crates/steward/src/core.rs
@@ -0,0 +1,643 @@
+//! What one machine of the core knows and decides by: the agreement's member, the view folded from its log, and what was
+//! heard of marshals and edges. Inputs come from links, the disk, callers and the clock; after each, `pump` does what has
+//! become possible.
+
+use crate::disk::Writes;
+use milletwing_accord::{Id, Mark, Member, Message, Options, Payload, Role};
+use milletwing_ledger::registry::Verdict;
+use milletwing_ledger::{Beat, Command, Heard, Outcome, Registry, State, View};
+use milletwing_tenet::{tell, Kind, Settings};
+use milletwing_tidings::{frame, Answer, Ask, Down, Peer};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot};
+
+/// The one thread's hold on it; never across an await.
+pub type Shared = Rc<RefCell<Core>>;
+/// Milliseconds since the process began.
+pub type Time = u64;
+
+/// Frames that wait for one link.
+const QUEUE: usize = 64;
+/// Entries, and bytes of them, kept for edges that resume.
+const RECENT: (usize, usize) = (4096, 4 << 20);
+
+struct Feed {
+    sent: u64,
+    send: mpsc::Sender<Rc<Vec<u8>>>,
+}
+
+/// One machine of the core.
+pub struct Core {
+    pub settings: Settings,
+    pub began: Instant,
+    pub member: Member,
+    pub view: View,
+    pub registry: Registry,
+    /// Other machines of the core that were heard of.
+    pub known: Vec<Id>,
+    links: HashMap<Id, mpsc::Sender<Rc<Vec<u8>>>>,
+    feeds: BTreeMap<u64, Feed>,
+    next: u64,
+    recent: VecDeque<(u64, Rc<Vec<u8>>)>,
+    recent_bytes: usize,
+    disk: std::sync::mpsc::SyncSender<milletwing_accord::Batch>,
+    /// What may leave once the batch that is out is on the disk.
+    out: Option<(Mark, Vec<(Id, Message)>)>,
+    waiters: BTreeMap<u64, Vec<(u64, oneshot::Sender<Answer>)>>,
+    reads: HashMap<u64, oneshot::Sender<Answer>>,
+    calls: HashMap<u64, oneshot::Sender<Answer>>,
+    role: Role,
+    leader: Option<Id>,
+    swept: Time,
+    told: Time,
+    lost: bool,
+    members: Vec<Id>,
+    /// Since when this machine, as leader, has known of a roll-out under way.
+    begun: BTreeMap<u64, Time>,
+}
+
+impl Core {
+    /// Goes on from what the disk gave.
+    pub fn start(settings: Settings, writes: Writes) -> Result<Shared, String> {
+        let seeds = settings.seeds();
+        let options = Options {
+            id: settings.id(),
+            election: 600,
+            heartbeat: 100,
+            losses: settings.timers.resilience.machine_losses,
+            snapshot_every: 1_000,
+            seed: rand::random(),
+        };
+        let founders = settings.own.initial_attach.then_some(seeds.as_slice());
+        let member = Member::new(options, &writes.stored, founders, &seeds, 1)?;
+        let view = View::from_bytes(&member.snapshot().data)?;
+        let lost = member.lost();
+        if lost {
+            tell!(DiskLost, "{}: asks the others", settings.own.node_name);
+        }
+        Ok(Rc::new(RefCell::new(Core {
+            known: seeds.iter().copied().filter(|id| *id != settings.id()).collect(),
+            settings,
+            began: Instant::now(),
+            member,
+            view,
+            registry: Registry::default(),
+            links: HashMap::new(),
+            feeds: BTreeMap::new(),
+            next: 0,
+            recent: VecDeque::new(),
+            recent_bytes: 0,
+            disk: writes.send,
+            out: None,
+            waiters: BTreeMap::new(),
+            reads: HashMap::new(),
+            calls: HashMap::new(),
+            role: Role::Follower,
+            leader: None,
+            swept: 0,
+            told: 0,
+            lost,
+            members: Vec::new(),
+            begun: BTreeMap::new(),
+        })))
+    }
+
+    /// Milliseconds since the process began; never 0.
+    pub fn now(&self) -> Time {
+        self.began.elapsed().as_millis() as Time + 1
+    }
+
+    /// Seconds for which a service's marshals stay cold.
+    fn cold_for(view: &View) -> impl Fn(&str) -> f64 + '_ {
+        |service| view.configuration().and_then(|it| it.targets.get(service)).map_or(3.0, |it| it.warmup_s)
+    }
+
+    /// Another machine of the core was heard of.
+    pub fn meet(&mut self, id: Id) {
+        if id != self.settings.id() && !self.known.contains(&id) && self.known.len() < 64 {
+            self.known.push(id);
+        }
+    }
+
+    /// Takes the queue of a link; gives its other end.
+    pub fn link(&mut self, id: Id) -> mpsc::Receiver<Rc<Vec<u8>>> {
+        let (send, queue) = mpsc::channel(QUEUE);
+        self.links.insert(id, send);
+        queue
+    }
+
+    fn post(&self, to: Id, peer: &Peer) {
+        if let Some(link) = self.links.get(&to) {
+            let _ = link.try_send(Rc::new(frame(peer))); // a full link drops: the agreement sends again
+        }
+    }
+
+    /// Does whatever has become possible. Called after every input.
+    pub fn pump(shared: &Shared) {
+        let core = &mut *shared.borrow_mut();
+        loop {
+            core.fold();
+            core.look();
+            if core.out.is_some() {
+                return;
+            }
+            let Some(work) = core.member.work() else { return };
+            if work.batch.is_empty() {
+                for (to, message) in work.messages {
+                    core.post(to, &Peer::Accord(message));
+                }
+                continue;
+            }
+            core.out = Some((work.last, work.messages));
+            if core.disk.send(work.batch).is_err() {
+                tell!(DiskFailed, "the disk's thread has ended");
+                std::process::exit(3);
+            }
+            return;
+        }
+    }
+
+    /// The batch that was out is on the disk.
+    pub fn saved(shared: &Shared) {
+        {
+            let core = &mut *shared.borrow_mut();
+            if let Some((last, messages)) = core.out.take() {
+                let now = core.now();
+                core.member.saved(now, last);
+                for (to, message) in messages {
+                    core.post(to, &Peer::Accord(message));
+                }
+            }
+        }
+        Core::pump(shared);
+    }
+
+    /// Folds what is committed, answers those who wait for it, and tells the edges.
+    fn fold(&mut self) {
+        if let Some(data) = self.member.restored() {
+            match View::from_bytes(&data) {
+                Ok(view) => self.view = view,
+                Err(problem) => {
+                    tell!(DiskFailed, "the leader's snapshot: {problem}");
+                    std::process::exit(3);
+                }
+            }
+            self.recent.clear();
+            self.recent_bytes = 0;
+        }
+        for entry in self.member.committed() {
+            let (answer, bytes) = match entry.payload {
+                Payload::Data(bytes) => match Command::read(&bytes) {
+                    Ok(command) => {
+                        let outcome = self.view.apply(entry.index, &command);
+                        self.note(entry.index, &command, &outcome);
+                        let answer = match outcome {
+                            Outcome::Done => Answer::Done(entry.index),
+                            Outcome::Refused(kind) => Answer::Refused(kind.answer().status, kind.to_string()),
+                        };
+                        (answer, Some(bytes))
+                    }
+                    Err(problem) => (Answer::Refused(400, problem), None),
+                },
+                Payload::Blank | Payload::Members(_) => (Answer::Done(entry.index), None),
+            };
+            self.view.index = entry.index;
+            if let Some(bytes) = bytes {
+                self.recent_bytes += bytes.len();
+                self.recent.push_back((entry.index, Rc::new(bytes)));
+                while self.recent.len() > RECENT.0 || self.recent_bytes > RECENT.1 {
+                    let Some((_, old)) = self.recent.pop_front() else { break };
+                    self.recent_bytes -= old.len();
+                }
+            }
+            for (term, waiter) in self.waiters.remove(&entry.index).unwrap_or_default() {
+                // Another leader's entry in its place: nobody can say what became of the one waited for.
+                let _ = waiter.send(if term == entry.term { answer.clone() } else { Answer::Unsure });
+            }
+        }
+        if self.member.wants_snapshot() {
+            let data = self.view.bytes();
+            self.member.take_snapshot(data);
+        }
+        let index = self.view.index;
+        for token in self.member.reads() {
+            if let Some(read) = self.reads.remove(&token) {
+                let _ = read.send(Answer::Done(index));
+            }
+        }
+        let ids: Vec<u64> =
+            self.feeds.iter().filter(|(_, feed)| feed.sent < index).map(|(id, _)| *id).collect();
+        for id in ids {
+            self.feed(id);
+        }
+    }
+
+    fn note(&self, index: u64, command: &Command, outcome: &Outcome) {
+        match (command, outcome) {
+            (_, Outcome::Refused(kind)) => tell!(Refused, "entry {index}: {kind}"),
+            (Command::Configure { .. }, _) => {
+                tell!(Configured, "entry {index}: revision {}", self.view.revision)
+            }
+            (Command::NodeUp(node), _) => {
+                let phase = if node.phase == milletwing_ledger::Phase::Warm { "warm" } else { "cold" };
+                tell!(
+                    NodeUp,
+                    "{} {} of {} at {} in {}, {phase}",
+                    node.id,
+                    node.revision,
+                    node.target,
+                    node.address,
+                    node.zone
+                )
+            }
+            (Command::NodeDrains { id }, _) => tell!(NodeDrains, "{id}"),
+            (Command::NodeGone { id, silent }, _) => {
+                tell!(NodeGone, "{id}{}", if *silent { ", silent" } else { "" })
+            }
+            (Command::NodeWarm { id }, _) => tell!(NodeWarm, "{id}"),
+            (Command::NodeCold { id, .. }, _) => tell!(NodeWarm, "{id} is cold"),
+            (Command::Evacuate { zone, on, .. }, _) => {
+                tell!(Evacuated, "{zone} {}", if *on { "is emptied" } else { "is taken back" })
+            }
+            (Command::RollOut { service, revision, .. }, _) => {
+                tell!(RollOut, "{service}: {revision} ordered")
+            }
+            (Command::Settle { service, good, .. }, _) => {
+                tell!(RollOut, "{service}: {}", if *good { "completed" } else { "reverted" })
+            }
+        }
+    }
+
+    /// Notices what changed about this machine's place.
+    fn look(&mut self) {
+        let now = self.now();
+        let (role, leader) = (self.member.role(), self.member.leader());
+        if role == Role::Leader && self.role != Role::Leader {
+            tell!(Leads, "term {}", self.member.term());
+            self.registry.lead(now, &self.view, &Core::cold_for(&self.view));
+        }
+        if leader != self.leader && role != Role::Leader {
+            let name = leader.map_or("nobody".into(), |id| std::net::Ipv4Addr::from_bits(id).to_string());
+            tell!(Follows, "term {}: {name}", self.member.term());
+        }
+        (self.role, self.leader) = (role, leader);
+        if self.lost && !self.member.lost() {
+            self.lost = false;
+            tell!(Whole, "as of entry {}", self.view.index);
+        }
+        if self.members != self.member.members() {
+            self.members = self.member.members().to_vec();
+            let names: Vec<String> =
+                self.members.iter().map(|id| std::net::Ipv4Addr::from_bits(*id).to_string()).collect();
+            tell!(Members, "{}", names.join(" "));
+            for id in self.members.clone() {
+                self.meet(id);
+            }
+        }
+    }
+
+    /// A peer's message.
+    pub fn heard(shared: &Shared, from: Id, peer: Peer) {
+        {
+            let core = &mut *shared.borrow_mut();
+            let now = core.now();
+            match peer {
+                Peer::Accord(message) => core.member.step(now, from, message),
+                Peer::Heard { nodes, edges } => {
+                    core.registry.heard(now, &nodes);
+                    edges.into_iter().for_each(|(edge, ago)| core.registry.edge(now, edge, ago));
+                }
+                Peer::Call { number, ask } => {
+                    let shared = Rc::clone(shared);
+                    tokio::task::spawn_local(async move {
+                        let answer = Core::lead(&shared, ask).await.unwrap_or(Answer::Unsure);
+                        shared.borrow().post(from, &Peer::Reply { number, answer });
+                    });
+                }
+                Peer::Reply { number, answer } => {
+                    if let Some(call) = core.calls.remove(&number) {
+                        let _ = call.send(answer);
+                    }
+                }
+                Peer::Join => {
+                    if core.role == Role::Leader && !core.member.members().contains(&from) {
+                        let mut members = core.member.members().to_vec();
+                        members.push(from);
+                        members.sort_unstable();
+                        core.member.change(now, members);
+                    }
+                }
+            }
+        }
+        Core::pump(shared);
+    }
+
+    /// Time passes.
+    fn tick(shared: &Shared) {
+        {
+            let core = &mut *shared.borrow_mut();
+            let now = core.now();
+            core.member.tick(now);
+            if now >= core.swept + 250 {
+                core.swept = now;
+                core.sweep(now);
+            }
+        }
+        Core::pump(shared);
+    }
+
+    fn sweep(&mut self, now: Time) {
+        let silence = (self.settings.provider.report_s * 3_000.0) as Time + 1_000;
+        if self.role == Role::Leader {
+            let mut commands = self.registry.sweep(now, &self.view, silence);
+            let active = self.view.rollouts.iter().filter(|(_, roll)| roll.state == State::Active);
+            let begun: BTreeMap<u64, Time> = active
+                .map(|(_, roll)| (roll.number, *self.begun.get(&roll.number).unwrap_or(&now)))
+                .collect();
+            self.begun = begun;
+            // One that nothing has moved by the end of its time goes back.
+            let over = self.view.rollouts.iter().filter(|(_, roll)| {
+                let begun = self.begun.get(&roll.number);
+                roll.state == State::Active && begun.is_some_and(|at| now >= at + roll.period_ms * 9 / 10)
+            });
+            commands.extend(over.map(|(service, roll)| Command::Settle {
+                service: service.clone(),
+                number: roll.number,
+                good: false,
+            }));
+            for command in commands {
+                self.member.propose(now, command.bytes());
+            }
+        }
+        self.waiters.retain(|_, list| {
+            list.retain(|(_, waiter)| !waiter.is_closed());
+            !list.is_empty()
+        });
+        self.reads.retain(|_, read| !read.is_closed());
+        self.calls.retain(|_, call| !call.is_closed());
+        self.registry.forget(now);
+        if now >= self.told + 500 {
+            self.told = now;
+            let nodes = self.registry.news();
+            // Only what this machine hears itself: the age tells others how old it is.
+            let edges: Vec<(Heard, u64)> = self
+                .registry
+                .edges(now)
+                .filter(|(_, ago)| *ago < 2_000)
+                .map(|(edge, ago)| (edge.clone(), ago))
+                .collect();
+            for id in self.known.clone() {
+                self.post(id, &Peer::Heard { nodes: nodes.clone(), edges: edges.clone() });
+            }
+            let outside =
+                !self.member.members().is_empty() && !self.member.members().contains(&self.settings.id());
+            if let (true, Some(leader)) =
+                (outside || self.member.members().is_empty(), self.leader.or(self.known.first().copied()))
+            {
+                if !self.member.lost() {
+                    self.post(leader, &Peer::Join);
+                }
+            }
+        }
+    }
+
+    /// Proposes an entry, and waits for what becomes of it.
+    fn enter(&mut self, command: &Command) -> Option<oneshot::Receiver<Answer>> {
+        let now = self.now();
+        let (term, index) = self.member.propose(now, command.bytes())?;
+        let (send, wait) = oneshot::channel();
+        self.waiters.entry(index).or_default().push((term, send));
+        Some(wait)
+    }
+
+    /// Decides an order, where this machine leads; nothing where it doesn't.
+    async fn lead(shared: &Shared, ask: Ask) -> Option<Answer> {
+        let wait = {
+            let core = &mut *shared.borrow_mut();
+            let now = core.now();
+            if core.member.role() != Role::Leader {
+                return None;
+            }
+            match ask {
+                Ask::Beat { id, beat } => {
+                    let verdict = core.registry.beat(now, &core.view, &id, &beat);
+                    core.verdict(verdict)
+                }
+                Ask::Leave { id } => {
+                    let verdict = core.registry.leave(&core.view, &id);
+                    core.verdict(verdict)
+                }
+                Ask::Configure { if_match, body } => core.enter(&Command::Configure { if_match, body }),
+                Ask::RollOut { service, revision, period_ms } => {
+                    core.enter(&Command::RollOut { service, revision, period_ms })
+                }
+                Ask::Evacuate { zone, on: true } => {
+                    core.enter(&Command::Evacuate { zone, on: true, deals: Vec::new() })
+                }
+                Ask::Evacuate { zone, on: false } => {
+                    let command = if core.view.evacuated.contains(&zone) {
+                        core.registry.take_back(now, &core.view, &zone, &Core::cold_for(&core.view))
+                    } else {
+                        Command::Evacuate { zone, on: false, deals: Vec::new() }
+                    };
+                    core.enter(&command)
+                }
+                Ask::Read => {
+                    core.next += 1;
+                    let token = core.next;
+                    let (send, wait) = oneshot::channel();
+                    core.reads.insert(token, send);
+                    core.member.read(now, token).then_some(wait)
+                }
+            }
+        };
+        Core::pump(shared);
+        wait?.await.ok()
+    }
+
+    fn verdict(&mut self, verdict: Verdict) -> Option<oneshot::Receiver<Answer>> {
+        match verdict {
+            Verdict::Enter(command) => self.enter(&command),
+            Verdict::Known => {
+                let (send, wait) = oneshot::channel();
+                let _ = send.send(Answer::Done(self.view.index));
+                Some(wait)
+            }
+        }
+    }
+
+    /// Has an order decided, here or by the leader, for as long as its caller waits.
+    pub async fn order(shared: &Shared, ask: Ask, within: Duration) -> Answer {
+        let whole = async {
+            loop {
+                if let Some(answer) = Core::lead(shared, ask.clone()).await {
+                    if answer != Answer::Unsure {
+                        return answer;
+                    }
+                } else if let Some(answer) = Core::pass_on(shared, ask.clone()).await {
+                    if answer != Answer::Unsure {
+                        return answer;
+                    }
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tokio::time::timeout(within, whole).await.unwrap_or(Answer::Unsure)
+    }
+
+    async fn pass_on(shared: &Shared, ask: Ask) -> Option<Answer> {
+        let wait = {
+            let core = &mut *shared.borrow_mut();
+            let leader = core.leader.filter(|leader| *leader != core.settings.id())?;
+            core.next += 1;
+            let number = core.next;
+            let (send, wait) = oneshot::channel();
+            core.calls.insert(number, send);
+            core.post(leader, &Peer::Call { number, ask });
+            wait
+        };
+        tokio::time::timeout(Duration::from_millis(450), wait).await.ok()?.ok()
+    }
+
+    /// Takes a beat: what is known is acknowledged here, the rest is the leader's.
+    pub async fn beat(shared: &Shared, id: String, beat: Beat, within: Duration) -> Answer {
+        let known = {
+            let core = &mut *shared.borrow_mut();
+            let now = core.now();
+            let leads = core.member.role() == Role::Leader;
+            (!leads && core.registry.beat(now, &core.view, &id, &beat) == Verdict::Known)
+                .then_some(core.view.index)
+        };
+        match known {
+            Some(index) => Answer::Done(index),
+            None => Core::order(shared, Ask::Beat { id, beat }, within).await,
+        }
+    }
+
+    /// Waits until everything acknowledged before this moment is folded here.
+    pub async fn read(shared: &Shared, within: Duration) -> Result<(), Kind> {
+        let end = Instant::now() + within;
+        let Answer::Done(index) = Core::order(shared, Ask::Read, within).await else {
+            return Err(Kind::NoLeader);
+        };
+        while shared.borrow().view.index < index {
+            if Instant::now() >= end {
+                return Err(Kind::NoLeader);
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Ok(())
+    }
+
+    /// An edge's connection: what it lacks goes into its queue from now on.
+    pub fn attach(&mut self, edge: Heard, index: u64) -> (u64, mpsc::Receiver<Rc<Vec<u8>>>) {
+        let (send, queue) = mpsc::channel(256);
+        self.next += 1;
+        let (id, now) = (self.next, self.now());
+        self.registry.edge(now, edge, 0);
+        self.feeds.insert(id, Feed { sent: index, send });
+        self.feed(id);
+        (id, queue)
+    }
+
+    /// An edge's connection has ended.
+    pub fn detach(&mut self, id: u64) {
+        self.feeds.remove(&id);
+    }
+
+    /// Whether an edge's connection still counts: one that doesn't take what it is sent is ended.
+    pub fn attached(&self, id: u64) -> bool {
+        self.feeds.contains_key(&id)
+    }
+
+    fn feed(&mut self, id: u64) {
+        let (index, configured) = (self.view.index, self.view.index > 0);
+        let Some(feed) = self.feeds.get_mut(&id) else { return };
+        if feed.sent >= index || !configured {
+            return; // it knows as much, or more than this machine that lags
+        }
+        let reaches = self.recent.front().is_some_and(|(first, _)| *first <= feed.sent + 1) && feed.sent > 0;
+        let message = if reaches {
+            let from = self.recent.partition_point(|(at, _)| *at <= feed.sent);
+            let entries =
+                self.recent.iter().skip(from).map(|(at, bytes)| (*at, bytes.as_ref().clone())).collect();
+            Down::Entries(entries)
+        } else {
+            Down::Whole(self.view.bytes())
+        };
+        feed.sent = index;
+        if feed.send.try_send(Rc::new(frame(&message))).is_err() {
+            self.feeds.remove(&id);
+        }
+    }
+
+    /// What an edge is told now and then.
+    pub fn pulse(&self) -> Down {
+        let now = self.now();
+        let mut cores = self.member.members().to_vec();
+        if cores.is_empty() {
+            cores.push(self.settings.id());
+        }
+        let fresh = self.member.fresh(now, 1_000) && !self.member.lost();
+        Down::Pulse { fresh, index: self.view.index, cores, edges: self.registry.ready(now).len() as u32 }
+    }
+
+    /// Edges' addresses for a client of this region: those that take traffic there, or anywhere.
+    pub fn resolve(&self, region: &str) -> Vec<String> {
+        let now = self.now();
+        // One that is cut off keeps what it last knew.
+        let reach = if self.member.fresh(now, 1_000) { 1_500 } else { 30_000 };
+        let all: Vec<&Heard> = self
+            .registry
+            .edges(now)
+            .filter(|(edge, ago)| edge.ready && *ago <= reach)
+            .map(|(edge, _)| edge)
+            .collect();
+        let near: Vec<&Heard> = all.iter().copied().filter(|edge| edge.region == region).collect();
+        let chosen = if near.is_empty() { all } else { near };
+        chosen.iter().take(64).map(|edge| edge.ingress.to_string()).collect()
+    }
+
+    /// Leaves in order: another leads.
+    pub fn leave(&mut self) {
+        let now = self.now();
+        self.member.hand_over(now);
+    }
+}
+
+/// The clock's task.
+pub async fn ticks(core: Shared) {
+    let mut every = tokio::time::interval(Duration::from_millis(25));
+    every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        every.tick().await;
+        Core::tick(&core);
+    }
+}
+
+/// Reads the settings again whenever the file changes: other seeds are other machines to ask.
+pub async fn watch(core: Shared, path: PathBuf) {
+    let mut before = std::fs::read_to_string(&path).ok();
+    loop {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let text = std::fs::read_to_string(&path).ok();
+        if text == before {
+            continue;
+        }
+        match text.as_deref().map(Settings::read) {
+            Some(Ok(settings)) => {
+                let core = &mut *core.borrow_mut();
+                settings.seeds().into_iter().for_each(|id| core.meet(id));
+                core.settings.timers = settings.timers;
+                tell!(SettingsRead, "{}", path.display());
+            }
+            Some(Err(problem)) => tell!(BadSettings, "{}: {problem}; the earlier ones stay", path.display()),
+            None => tell!(BadSettings, "{}: it can't be read; the earlier ones stay", path.display()),
+        }
+        before = text;
+    }
+}
--- /dev/null
+++ b/crates/steward/src/feeds.rs
@@ -0,0 +1,46 @@
+//! Connections of edges: entries as they are folded here, a pulse in between, and the edges' own beats.
+
+use crate::core::Shared;
+use milletwing_ledger::Heard;
+use milletwing_tidings::{self as tidings, frame, Up};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
+
+/// Between two pulses of a quiet feed.
+const PULSE: Duration = Duration::from_millis(200);
+
+/// Serves an edge until either side ends.
+pub async fn serve(
+    core: Shared,
+    edge: Heard,
+    index: u64,
+    mut read: impl AsyncRead + Unpin + 'static,
+    mut write: impl AsyncWrite + Unpin,
+) {
+    let (id, mut queue) = core.borrow_mut().attach(edge, index);
+    let hearing = Rc::clone(&core);
+    let hears = tokio::task::spawn_local(async move {
+        while let Ok(Ok(Up::Beat(edge, _))) =
+            tokio::time::timeout(Duration::from_secs(3), tidings::read::<Up>(&mut read)).await
+        {
+            let core = &mut *hearing.borrow_mut();
+            let now = core.now();
+            core.registry.edge(now, edge, 0);
+        }
+        hearing.borrow_mut().detach(id);
+    });
+    loop {
+        let next = tokio::time::timeout(PULSE, queue.recv()).await;
+        let bytes = match next {
+            Ok(Some(bytes)) => bytes,
+            Ok(None) => break,
+            Err(_) => Rc::new(frame(&core.borrow().pulse())),
+        };
+        if !core.borrow().attached(id) || tidings::write(&mut write, &bytes).await.is_err() {
+            break;
+        }
+    }
+    hears.abort();
+    core.borrow_mut().detach(id);
+}
--- /dev/null
+++ b/crates/steward/src/links.rs
@@ -0,0 +1,89 @@
+//! Connections to other machines of the core. Each dials every other and sends; what is accepted is only read.
+
+use crate::core::{Core, Shared};
+use milletwing_accord::Id;
+use milletwing_tidings::{self as tidings, frame, Greeting, Peer};
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{BufReader, BufWriter};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Connections accepted on the internal port at once.
+const MOST: usize = 1024;
+
+/// After so long without a sign that bytes arrive, a connection is ended.
+pub const PATIENCE: Duration = Duration::from_millis(800);
+
+/// Dials whoever is known and not dialled yet.
+pub async fn dial(core: Shared) {
+    let mut begun = HashSet::new();
+    loop {
+        let known = core.borrow().known.clone();
+        for id in known {
+            if begun.insert(id) {
+                tokio::task::spawn_local(send(Rc::clone(&core), id));
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn send(core: Shared, to: Id) {
+    let (own, port) = (core.borrow().settings.id(), core.borrow().settings.network.internal_ports.0);
+    let mut queue = core.borrow_mut().link(to);
+    loop {
+        if let Ok(stream) = tidings::dial(tidings::place(to, port), PATIENCE).await {
+            // What waited while there was no connection is old.
+            while queue.try_recv().is_ok() {}
+            let mut stream = BufWriter::new(stream);
+            if tidings::write(&mut stream, &frame(&Greeting::Core(own))).await.is_ok() {
+                while let Some(bytes) = queue.recv().await {
+                    if tidings::write(&mut stream, &bytes).await.is_err() {
+                        break;
+                    }
+                }
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Accepts machines of the core, and edges.
+pub async fn accept(core: Shared, listener: TcpListener) {
+    let open = Rc::new(());
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if Rc::strong_count(&open) <= MOST => {
+                let (core, open) = (Rc::clone(&core), Rc::clone(&open));
+                tokio::task::spawn_local(async move {
+                    let _ = welcome(core, stream).await; // whoever it is dials again
+                    drop(open);
+                });
+            }
+            Ok(_) => {}
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+async fn welcome(core: Shared, stream: TcpStream) -> Result<(), std::io::Error> {
+    tidings::groom(&stream, PATIENCE)?;
+    let (read, write) = stream.into_split();
+    let mut read = BufReader::with_capacity(4096, read);
+    let greeting = tokio::time::timeout(Duration::from_secs(2), tidings::read(&mut read));
+    match greeting.await.map_err(|_| std::io::ErrorKind::TimedOut)?? {
+        Greeting::Core(id) => {
+            core.borrow_mut().meet(id);
+            // Silence of a machine that can't say so ends the connection: its calls come ten times a second or its
+            // knowledge twice.
+            while let Ok(peer) =
+                tokio::time::timeout(Duration::from_secs(5), tidings::read::<Peer>(&mut read)).await
+            {
+                Core::heard(&core, id, peer?);
+            }
+        }
+        Greeting::Edge(edge, index) => crate::feeds::serve(core, edge, index, read, write).await,
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/tenet/src/configuration.rs
@@ -0,0 +1,196 @@
+//! The operator's configuration: `prost` messages that are read from JSON, and the list of what is invalid (PROTOCOL).
+
+use crate::kind::Kind;
+use prost::Message;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+
+/// A whole configuration.
+#[derive(Clone, PartialEq, Message, Deserialize)]
+pub struct Configuration {
+    /// Its number; above that of the one it follows.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Routes by name.
+    #[prost(btree_map = "string, message", tag = "2")]
+    pub routing: BTreeMap<String, Route>,
+    /// Services by name.
+    #[prost(btree_map = "string, message", tag = "3")]
+    pub targets: BTreeMap<String, Target>,
+    /// What a client may send, and how long it may take.
+    #[prost(message, optional, tag = "4")]
+    pub thresholds: Option<Thresholds>,
+}
+
+/// A route: where requests go whose host and path it fits.
+#[derive(Clone, PartialEq, Message, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Route {
+    /// The `Host`.
+    #[prost(string, tag = "1")]
+    pub domain: String,
+    /// How the path begins.
+    #[prost(string, tag = "2")]
+    pub path_prefix: String,
+    /// `idempotent`, `non_idempotent` or `downlink`.
+    #[prost(string, tag = "3")]
+    pub traffic_class: String,
+    /// Seconds that a request may be held at most.
+    #[prost(double, tag = "4")]
+    pub guard_s: f64,
+    /// Seconds inside which an answer earns its full worth.
+    #[prost(double, tag = "5")]
+    #[serde(default)]
+    pub target_s: f64,
+    /// 0 is highest.
+    #[prost(int64, tag = "6")]
+    #[serde(default)]
+    pub priority: i64,
+    /// The service, where there is one.
+    #[prost(string, optional, tag = "7")]
+    #[serde(default)]
+    pub target: Option<String>,
+    /// Or several, by share.
+    #[prost(message, repeated, tag = "8")]
+    #[serde(default)]
+    pub distribution: Vec<Share>,
+    /// How many marshals one request may be sent to.
+    #[prost(uint32, tag = "9")]
+    #[serde(default = "one")]
+    pub max_tries: u32,
+    /// Regions in which it may be served; none: all.
+    #[prost(string, repeated, tag = "10")]
+    #[serde(default)]
+    pub serving_regions: Vec<String>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// A service's part of a route.
+#[derive(Clone, PartialEq, Message, Deserialize)]
+pub struct Share {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Its part, in any unit.
+    #[prost(double, tag = "2")]
+    pub share: f64,
+}
+
+/// A service.
+#[derive(Clone, PartialEq, Message, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Target {
+    /// Where its marshals answer probes.
+    #[prost(string, tag = "1")]
+    pub probe_path: String,
+    /// Connections that a marshal accepts from all callers together.
+    #[prost(uint32, tag = "2")]
+    pub max_sessions: u32,
+    /// Seconds for which a marshal is cold after its start.
+    #[prost(double, tag = "3")]
+    pub warmup_s: f64,
+    /// Requests a second that a cold marshal bears.
+    #[prost(double, tag = "4")]
+    pub warmup_per_s: f64,
+}
+
+/// What a client may send, and how long it may take.
+#[derive(Clone, PartialEq, Message, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Thresholds {
+    /// Bytes of a request's head.
+    #[prost(uint64, tag = "1")]
+    pub max_header_bytes: u64,
+    /// Bytes of a request's body.
+    #[prost(uint64, tag = "2")]
+    pub max_body_bytes: u64,
+    /// Seconds for a head to come in.
+    #[prost(double, tag = "3")]
+    pub header_guard_s: f64,
+    /// Seconds that a connection may be idle.
+    #[prost(double, tag = "4")]
+    pub idle_guard_s: f64,
+}
+
+impl Configuration {
+    /// Reads and checks a configuration. Each thing of the protocol's list has a kind of its own.
+    pub fn read(bytes: &[u8]) -> Result<Configuration, Kind> {
+        let text = std::str::from_utf8(bytes).map_err(|problem| Kind::Unreadable(problem.to_string()))?;
+        let configuration: Configuration =
+            serde_json::from_str(text).map_err(|problem| Kind::Unreadable(problem.to_string()))?;
+        configuration.check()?;
+        Ok(configuration)
+    }
+
+    /// What the protocol calls invalid, as far as one configuration tells.
+    pub fn check(&self) -> Result<(), Kind> {
+        for (name, route) in &self.routing {
+            let services = route.shares();
+            if services.is_empty() {
+                return Err(Kind::NoService(name.clone()));
+            }
+            for (service, share) in services {
+                if !self.targets.contains_key(service) {
+                    return Err(Kind::UnknownService(name.clone(), service.into()));
+                }
+                if share.is_nan() || share < 0.0 {
+                    return Err(Kind::NegativeShare(name.clone()));
+                }
+            }
+            if route.class().is_none() {
+                return Err(Kind::OddClass(name.clone(), route.traffic_class.clone()));
+            }
+            if !route.path_prefix.starts_with('/') {
+                return Err(Kind::BarePrefix(name.clone()));
+            }
+            if !(0.0..=600.0).contains(&route.guard_s) {
+                return Err(Kind::LongGuard(name.clone()));
+            }
+            if route.target_s.is_nan() || route.target_s >= route.guard_s + 60.0 {
+                return Err(Kind::FarTarget(name.clone()));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// What may be done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Class {
+    /// May run more than once.
+    Idempotent,
+    /// At most once.
+    NonIdempotent,
+    /// Large answers; may run more than once.
+    Downlink,
+}
+
+impl Class {
+    /// Whether it may run more than once.
+    pub fn repeatable(self) -> bool {
+        self != Class::NonIdempotent
+    }
+}
+
+impl Route {
+    /// Its class, if it is one of those named in the protocol.
+    pub fn class(&self) -> Option<Class> {
+        match self.traffic_class.as_str() {
+            "idempotent" => Some(Class::Idempotent),
+            "non_idempotent" => Some(Class::NonIdempotent),
+            "downlink" => Some(Class::Downlink),
+            _ => None,
+        }
+    }
+
+    /// Its services with their shares.
+    pub fn shares(&self) -> Vec<(&str, f64)> {
+        match &self.target {
+            Some(target) => vec![(target.as_str(), 1.0)],
+            None => self.distribution.iter().map(|part| (part.target.as_str(), part.share)).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tenet/src/event.rs
@@ -0,0 +1,74 @@
+//! The numbered events of the logs; `docs/events.md` is their catalogue, held against this list by a test.
+
+use derive_more::Display;
+
+macro_rules! events {
+    ($($number:literal $name:ident $level:ident $what:literal,)*) => {
+        /// An event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+        pub enum Event { $(#[doc = $what] #[display($number)] $name,)* }
+
+        impl Event {
+            /// All of them: number, name, level and what each tells.
+            pub const ALL: &'static [(&'static str, &'static str, log::Level, &'static str)] =
+                &[$(($number, stringify!($name), log::Level::$level, $what),)*];
+
+            /// How grave it is.
+            pub fn level(self) -> log::Level {
+                match self { $(Event::$name => log::Level::$level,)* }
+            }
+        }
+    };
+}
+
+events! {
+    "M100" Started Info "a process is up, with its role and addresses",
+    "M101" BadSettings Error "the settings can't be used: which field",
+    "M102" SettingsRead Info "the settings were read again",
+    "M103" Term Info "SIGTERM: leaving in order",
+    "M104" Ended Info "all is finished, the process ends",
+    "M110" DiskLost Warn "the disk is empty or damaged: this machine counts again once it has caught up",
+    "M111" DiskFailed Error "a write failed: nothing more is promised, the process ends",
+    "M120" Leads Info "this machine leads the core",
+    "M121" Follows Info "this machine follows, or knows no leader",
+    "M122" Whole Info "a machine that had lost its disk counts again",
+    "M123" Members Info "who votes in the core has changed",
+    "M130" Configured Info "a configuration is in force",
+    "M131" Refused Info "a configuration or order was refused, with the reason",
+    "M132" Evacuated Info "a zone is emptied, or taken back",
+    "M133" RollOut Info "a roll-out began, moved or ended",
+    "M140" NodeUp Info "a marshal is known",
+    "M141" NodeDrains Info "a marshal drains",
+    "M142" NodeGone Info "a marshal has left, was replaced at its address, or is silent",
+    "M143" NodeWarm Debug "a marshal is warm",
+    "M150" FeedUp Info "an edge has a core that tells it what changes",
+    "M151" FeedLost Warn "an edge's core went silent or lags: it moves to another",
+    "M160" RequestEnded Debug "a request ended without a marshal's answer, with its id and kind",
+    "M161" TryEnded Debug "one sending of a request ended badly, with id, marshal and cause",
+    "M162" NodeAvoided Info "a marshal can't be reached: avoided for a while",
+}
+
+/// Writes an event.
+#[macro_export]
+macro_rules! tell {
+    ($event:ident, $($rest:tt)+) => {{
+        let event = $crate::Event::$event;
+        log::log!(event.level(), "{event} {}", format_args!($($rest)+))
+    }};
+}
+
+/// Sends the log to standard output: `[time] level event text`. `level` is one of `log`'s names; others mean `info`.
+pub fn start(level: &str) {
+    use log4rs::append::console::ConsoleAppender;
+    use log4rs::config::{Appender, Config, Root};
+    use log4rs::encode::pattern::PatternEncoder;
+    let level = level.parse().unwrap_or(log::LevelFilter::Info);
+    let pattern = Box::new(PatternEncoder::new("{l} {m}{n}"));
+    let console = ConsoleAppender::builder().encoder(pattern).build();
+    let config = Config::builder()
+        .appender(Appender::builder().build("out", Box::new(console)))
+        .build(Root::builder().appender("out").build(level));
+    if let Ok(config) = config {
+        let _ = log4rs::init_config(config); // a second start in one process keeps the first's
+    }
+}
--- /dev/null
+++ b/crates/tidings/src/lib.rs
@@ -0,0 +1,140 @@
+//! What the system's processes say to each other over TCP, on the first of the internal ports of a core machine. A
+//! connection begins with a [`Greeting`]; a core machine then sends [`Peer`]s one way, an edge [`Up`]s and gets [`Down`]s.
+
+use milletwing_accord::{Id, Message};
+use milletwing_ledger::{Beat, Heard};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::io::{Error, ErrorKind};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Bytes that a call to the core may carry: a configuration of some twenty thousand routes.
+pub const MOST_BODY: usize = 4 << 20;
+/// Bytes of a frame: a state with such a configuration and some thousand marshals.
+pub const MOST_FRAME: usize = 16 << 20;
+
+/// How a connection begins.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Greeting {
+    /// A machine of the core.
+    Core(Id),
+    /// An edge, and the last entry that it has folded.
+    Edge(Heard, u64),
+}
+
+/// Between machines of the core.
+#[allow(missing_docs)] // each variant's line says what its fields are
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Peer {
+    /// The agreement's.
+    Accord(Message),
+    /// Marshals and edges heard of; edges with the milliseconds since.
+    Heard { nodes: Vec<String>, edges: Vec<(Heard, u64)> },
+    /// To the leader, for one who called here.
+    Call { number: u64, ask: Ask },
+    /// The leader's answer.
+    Reply { number: u64, answer: Answer },
+    /// One that isn't a member would be.
+    Join,
+}
+
+/// What a member passes on to the leader.
+#[allow(missing_docs)] // each variant's line says what its fields are
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// A beat that changes something.
+    Beat { id: String, beat: Beat },
+    /// A marshal's leave.
+    Leave { id: String },
+    /// A configuration.
+    Configure { if_match: u64, body: Vec<u8> },
+    /// A roll-out.
+    RollOut { service: String, revision: String, period_ms: u64 },
+    /// A zone to be emptied or taken back.
+    Evacuate { zone: String, on: bool },
+    /// How far is the log, for certain?
+    Read,
+}
+
+/// How it ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// It holds, as of this entry.
+    Done(u64),
+    /// It was refused: the status and the reason.
+    Refused(u16, String),
+    /// Nobody can say.
+    Unsure,
+}
+
+/// From an edge.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Up {
+    /// It lives, and has folded so much.
+    Beat(Heard, u64),
+}
+
+/// To an edge.
+#[allow(missing_docs)] // each variant's line says what its fields are
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Down {
+    /// The whole state.
+    Whole(Vec<u8>),
+    /// Entries in order, each with its index.
+    Entries(Vec<(u64, Vec<u8>)>),
+    /// The core lives. `fresh`: it hears its leader; `cores`: all machines of the core; `edges`: how many take traffic.
+    Pulse { fresh: bool, index: u64, cores: Vec<Id>, edges: u32 },
+}
+
+/// The internal address of a core machine.
+pub fn place(id: Id, port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from_bits(id), port)
+}
+
+/// A connection that notices a peer that says nothing: unacknowledged bytes end it after `patience`.
+pub async fn dial(to: SocketAddrV4, patience: Duration) -> Result<TcpStream, Error> {
+    let stream =
+        tokio::time::timeout(patience, TcpStream::connect(to)).await.map_err(|_| ErrorKind::TimedOut)??;
+    groom(&stream, patience)?;
+    Ok(stream)
+}
+
+/// Sets what every connection of the system has: no delay, and an end when a peer says nothing.
+pub fn groom(stream: &TcpStream, patience: Duration) -> Result<(), Error> {
+    stream.set_nodelay(true)?;
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(patience))
+}
+
+/// A message as a frame: its length in four bytes, then the message.
+pub fn frame<T: Serialize>(message: &T) -> Vec<u8> {
+    let mut out = postcard::to_extend(message, vec![0; 4]).unwrap_or_default(); // plain values can't fail
+    let length = (out.len().saturating_sub(4)) as u32;
+    if let Some(head) = out.get_mut(..4) {
+        head.copy_from_slice(&length.to_be_bytes());
+    }
+    out
+}
+
+/// Reads a frame. Not to be given up half way. Errors: the connection's, or `InvalidData`.
+pub async fn read<T: DeserializeOwned>(from: &mut (impl AsyncRead + Unpin)) -> Result<T, Error> {
+    let length = from.read_u32().await? as usize;
+    if length > MOST_FRAME {
+        return Err(ErrorKind::InvalidData.into());
+    }
+    let mut bytes = Vec::new();
+    // Grows as bytes come: a length alone reserves nothing.
+    from.take(length as u64).read_to_end(&mut bytes).await?;
+    if bytes.len() < length {
+        return Err(ErrorKind::UnexpectedEof.into());
+    }
+    postcard::from_bytes(&bytes).map_err(|_| ErrorKind::InvalidData.into())
+}
+
+/// Writes a frame made by [`frame`].
+pub async fn write(to: &mut (impl AsyncWrite + Unpin), frame: &[u8]) -> Result<(), Error> {
+    to.write_all(frame).await?;
+    to.flush().await
+}
