--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -182,14 +182,17 @@
             member.dirty = true;
             match founders {
                 Some(founders) if founders.contains(&member.set.id) => {
-                    // The same on every founder: an empty snapshot that says who votes.
+                    // The same on every founder: an empty snapshot that says who votes. It has a place in the log, so that
+                    // whoever has nothing is sent it: one that only had the entries after it would know no members.
                     let mut members = founders.to_vec();
                     members.sort_unstable();
                     members.dedup();
-                    let snapshot = Snapshot { last: (0, 0), members, data: Vec::new() };
+                    let snapshot = Snapshot { last: (1, 1), members, data: Vec::new() };
+                    member.hard.term = 1;
                     member.members = snapshot.members.clone();
                     member.log.restore(snapshot.clone());
-                    member.placed = Some((snapshot, 1));
+                    (member.commit, member.applied, member.written) = (1, 1, 1);
+                    member.placed = Some((snapshot, 2));
                 }
                 // Guards against forgetting: an empty disk may be a lost one.
                 _ => member.hard.lost = true,
