After a loss of all machines the core leads sooner; look-ups are held as long as allowed

Cause: (1) after power_off_all two core machines waited 1.1 s for a leader: connections begun to machines without power hung for 800 ms, and a first election waited 0.6 to 1.2 s; edges without a configuration told clients to come back within 0.3 s, so that both tries were spent. (2) after_ack_wipe: look-ups at the dead near core machine cost a second, every 1.5 s. Ruled out: edges' own start (15 ms), the feed (20 ms after the leader's first entry). Change: a first wait of a quarter (a question beforehand protects a leader), dials of 250 ms, back after 0.5 to 1.5 s without a configuration, ttlS as long as allowed, probes on idle connections.

--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -198,7 +198,10 @@
                 _ => member.hard.lost = true,
             }
         }
+        // A start waits less: if there is a leader, the others refuse at the question beforehand, and after a loss of all
+        // machines nobody else will stand.
         member.rest(now);
+        member.deadline = now + (member.deadline - now) / 4;
         Ok(member)
     }
 
--- a/crates/course/src/course.rs
+++ b/crates/course/src/course.rs
@@ -363,7 +363,10 @@
 
     /// Seconds after which a refused client should come back: spread, so that not all return at once.
     pub fn back(&mut self, route: Option<&Route>) -> f64 {
-        let target = route.map_or(0.5, |route| route.target as f64 / 1000.0);
-        target * self.chance.random_range(0.15..0.6)
+        match route {
+            Some(route) => route.target as f64 / 1000.0 * self.chance.random_range(0.15..0.6),
+            // No configuration yet: the core is on its way back, which takes about a second.
+            None => self.chance.random_range(0.5..1.5),
+        }
     }
 }
--- a/crates/steward/src/front.rs
+++ b/crates/steward/src/front.rs
@@ -41,9 +41,6 @@
 const WITHIN_LARGE: Duration = Duration::from_millis(2_500);
 /// Connections at once.
 const MOST: usize = 768;
-/// Seconds that a client may hold a resolution: short enough that three times as long is within a leaving edge's grace.
-const TTL_S: f64 = 1.5;
-
 /// Connections that are open, and the word to close them.
 #[derive(Default)]
 pub struct Open {
@@ -288,7 +285,9 @@
     if addresses.is_empty() {
         return refuse(503, "no edge is known");
     }
-    let ttl = TTL_S.min(core.settings.timers.guarantees.ttl_max_s);
+    // As long as allowed: a look-up at a machine without power costs its client a second, while an address that no longer
+    // serves costs it a connection that is refused.
+    let ttl = core.settings.timers.guarantees.ttl_max_s;
     reply(200, json!({ "addresses": addresses, "ttlS": ttl }).to_string())
 }
 
--- a/crates/steward/src/links.rs
+++ b/crates/steward/src/links.rs
@@ -15,6 +15,10 @@
 /// After so long without a sign that bytes arrive, a connection is ended.
 pub const PATIENCE: Duration = Duration::from_millis(800);
 
+/// A connection that doesn't come up in this time is begun anew: what was sent to a machine before it had power is lost,
+/// and one that is up answers within a round trip.
+const DIAL: Duration = Duration::from_millis(250);
+
 /// Dials whoever is known and not dialled yet.
 pub async fn dial(core: Shared) {
     let mut begun = HashSet::new();
@@ -33,7 +37,8 @@
     let (own, port) = (core.borrow().settings.id(), core.borrow().settings.network.internal_ports.0);
     let mut queue = core.borrow_mut().link(to);
     loop {
-        if let Ok(stream) = tidings::dial(tidings::place(to, port), PATIENCE).await {
+        if let Ok(stream) = tidings::dial(tidings::place(to, port), DIAL).await {
+            let _ = tidings::groom(&stream, PATIENCE);
             // What waited while there was no connection is old.
             while queue.try_recv().is_ok() {}
             let mut stream = BufWriter::new(stream);
@@ -45,7 +50,7 @@
                 }
             }
         }
-        tokio::time::sleep(Duration::from_millis(100)).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
 
--- a/crates/tidings/src/lib.rs
+++ b/crates/tidings/src/lib.rs
@@ -105,7 +105,12 @@
 /// Sets what every connection of the system has: no delay, and an end when a peer says nothing.
 pub fn groom(stream: &TcpStream, patience: Duration) -> Result<(), Error> {
     stream.set_nodelay(true)?;
-    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(patience))
+    let socket = socket2::SockRef::from(stream);
+    // Also while nothing is on its way: a peer without power is noticed by whoever waits for its answer.
+    let probes =
+        socket2::TcpKeepalive::new().with_time(Duration::from_secs(1)).with_interval(Duration::from_secs(1));
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(patience))
 }
 
 /// A message as a frame: its length in four bytes, then the message.
