Two core machines of three elect a leader as soon as they reach each other

The answer to the first question was dropped: the link back still waited on a connection begun while the other had no power, what waited in its queue was thrown away as old, and the next question came 0.6 to 1.2 s later. Ruled out: the log (both had the same last entry), the disk (2 ms), edges (they were up and connected).

--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -302,6 +302,9 @@
             }
         } else if now >= self.deadline && self.votes_here() {
             self.stand(now, true);
+        } else if self.role == Role::Asking && now >= self.asked + self.set.heartbeat {
+            // A question promises nothing, so that it may be put again and again to those who were not up yet.
+            self.question(now);
         }
     }
 
@@ -318,12 +321,19 @@
             self.hard.vote = Some(self.set.id);
             self.dirty = true;
         }
-        let term = self.hard.term + u64::from(early);
-        let last = self.log.last();
-        self.out.extend(self.others().into_iter().map(|id| (id, Message::Ask { term, early, last })));
+        self.question(now);
         self.elected(now);
     }
 
+    /// Puts the question to those who have not lent their vote.
+    fn question(&mut self, now: Time) {
+        self.asked = now;
+        let early = self.role == Role::Asking;
+        let (term, last) = (self.hard.term + u64::from(early), self.log.last());
+        let others = self.others().into_iter().filter(|id| !self.votes.contains(id));
+        self.out.extend(others.map(|id| (id, Message::Ask { term, early, last })).collect::<Vec<_>>());
+    }
+
     fn elected(&mut self, now: Time) {
         if !self.majority(self.votes.len()) {
             return;
--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -14,7 +14,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Notify};
 
 /// The one thread's hold on it; never across an await.
 pub type Shared = Rc<RefCell<Core>>;
@@ -44,7 +44,7 @@
     pub registry: Registry,
     /// Other machines of the core that were heard of.
     pub known: Vec<Id>,
-    links: HashMap<Id, mpsc::Sender<Rc<Vec<u8>>>>,
+    links: HashMap<Id, (mpsc::Sender<Rc<Vec<u8>>>, Rc<Notify>)>,
     feeds: BTreeMap<u64, Feed>,
     next: u64,
     recent: VecDeque<(u64, Rc<Vec<u8>>)>,
@@ -134,15 +134,24 @@
         }
     }
 
-    /// Takes the queue of a link; gives its other end.
-    pub fn link(&mut self, id: Id) -> mpsc::Receiver<Rc<Vec<u8>>> {
+    /// Opens the queue of a link; gives its other end, and the word that the machine has dialled this one.
+    pub fn link(&mut self, id: Id) -> (mpsc::Receiver<Rc<Vec<u8>>>, Rc<Notify>) {
         let (send, queue) = mpsc::channel(QUEUE);
-        self.links.insert(id, send);
-        queue
+        let up = Rc::new(Notify::new());
+        self.links.insert(id, (send, Rc::clone(&up)));
+        (queue, up)
+    }
+
+    /// Another machine of the core has dialled this one.
+    pub fn dialled_by(&mut self, id: Id) {
+        self.meet(id);
+        if let Some((_, up)) = self.links.get(&id) {
+            up.notify_waiters();
+        }
     }
 
     fn post(&self, to: Id, peer: &Peer) {
-        if let Some(link) = self.links.get(&to) {
+        if let Some((link, _)) = self.links.get(&to) {
             let _ = link.try_send(Rc::new(frame(peer))); // a full link drops: the agreement sends again
         }
     }
--- a/crates/steward/src/links.rs
+++ b/crates/steward/src/links.rs
@@ -35,12 +35,15 @@
 
 async fn send(core: Shared, to: Id) {
     let (own, port) = (core.borrow().settings.id(), core.borrow().settings.network.internal_ports.0);
-    let mut queue = core.borrow_mut().link(to);
+    let (mut queue, up) = core.borrow_mut().link(to);
     loop {
-        if let Ok(stream) = tidings::dial(tidings::place(to, port), DIAL).await {
+        let dialled = tokio::select! {
+            dialled = tidings::dial(tidings::place(to, port), DIAL) => dialled,
+            // It has dialled us: what we sent before it had power is lost.
+            _ = up.notified() => continue,
+        };
+        if let Ok(stream) = dialled {
             let _ = tidings::groom(&stream, PATIENCE);
-            // What waited while there was no connection is old.
-            while queue.try_recv().is_ok() {}
             let mut stream = BufWriter::new(stream);
             if tidings::write(&mut stream, &frame(&Greeting::Core(own))).await.is_ok() {
                 while let Some(bytes) = queue.recv().await {
@@ -79,7 +82,7 @@
     let greeting = tokio::time::timeout(Duration::from_secs(2), tidings::read(&mut read));
     match greeting.await.map_err(|_| std::io::ErrorKind::TimedOut)?? {
         Greeting::Core(id) => {
-            core.borrow_mut().meet(id);
+            core.borrow_mut().dialled_by(id);
             // Silence of a machine that can't say so ends the connection: its calls come ten times a second or its
             // knowledge twice.
             while let Ok(peer) =
