Versions are tried in every edge by the design's test; the core tallies votes and moves stages

Change: package verity holds sums, the adjusted test (moved out of the module, which uses it), looks and the tally; course splits traffic by the coin within the cap, fixes the covariate before the send, drops a marshal's first 3 s; edges vote and tell their sums, the core tallies both and keeps stages as entries of their own, outside configuration versions. The module's policy file is shorter by the test it shares. Ruled out: votes alone (an edge of the grown sites sees one or two outcomes of a new version a second at the first cap).

--- a/crates/carrier/src/feed.rs
+++ b/crates/carrier/src/feed.rs
@@ -76,9 +76,14 @@
     }
     let beating = Rc::clone(edge);
     let beats = tokio::task::spawn_local(async move {
+        let mut trials = false;
         loop {
-            let _ = tokio::time::timeout(BEAT, beating.changed.notified()).await;
-            let beat = frame(&Up::Beat(beating.heard(), beating.view.borrow().index));
+            let pause = if trials { BEAT / 3 } else { BEAT };
+            let _ = tokio::time::timeout(pause, beating.changed.notified()).await;
+            let now = beating.now();
+            let reports = beating.course.borrow_mut().reports(now);
+            trials = !reports.is_empty();
+            let beat = frame(&Up::Beat(beating.heard(), beating.view.borrow().index, reports));
             if write.write_all(&beat).await.is_err() {
                 return;
             }
@@ -119,6 +124,7 @@
                 let behind = index < edge.view.borrow().index;
                 if now && !behind {
                     fresh = Instant::now();
+                    edge.course.borrow_mut().heard(edge.now());
                     if !said {
                         said = true;
                         tell!(FeedUp, "as of entry {index}");
--- a/crates/course/src/course.rs
+++ b/crates/course/src/course.rs
@@ -7,12 +7,14 @@
 use crate::budget::Budget;
 use crate::marshal::{Load, Marshal, Reach, Result as Ended};
 use crate::table::{Route, Table};
+use crate::trial::Trial;
 use crate::Time;
 use ahash::RandomState;
 use hashbrown::HashMap;
-use milletwing_ledger::{Phase, View};
+use milletwing_ledger::{Phase, State, View};
 use milletwing_tenet::settings::Guarantees;
 use milletwing_tenet::{Configuration, Kind};
+use milletwing_verity::{Report, LAST};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
@@ -50,6 +52,8 @@
     missed: u32,
     /// It may have run somewhere.
     pub ran: bool,
+    /// What the coin said, where a version is on trial.
+    new: bool,
 }
 
 /// One sending.
@@ -65,6 +69,8 @@
     pub at: Time,
     /// Connections that this edge may hold to it.
     pub connections: usize,
+    /// The covariate, fixed before the send.
+    covariate: f64,
 }
 
 #[derive(Debug)]
@@ -75,6 +81,7 @@
     /// Milliseconds of an answer, by route.
     usual: f64,
     connections: u32,
+    trial: Option<Trial>,
 }
 
 /// What crossing costs for each kilobyte, in parts of a request's worth: between zones, between regions. Ours: links
@@ -89,6 +96,9 @@
 /// Connections to a marshal that can't be made, one after the other, before the request is given up.
 const MISSES: u32 = 3;
 
+/// Milliseconds without a word from the core after which nothing more is exposed.
+const HEARD: Time = 2_000;
+
 /// What an edge decides by.
 #[derive(Debug)]
 pub struct Course {
@@ -103,6 +113,8 @@
     /// Kilobytes of an answer, by route.
     weight: HashMap<String, f64, RandomState>,
     edges: f64,
+    /// When the core was heard last.
+    heard: Time,
     chance: Pcg64Mcg,
 }
 
@@ -120,6 +132,7 @@
             services: HashMap::default(),
             weight: HashMap::default(),
             edges: 8.0,
+            heard: 0,
             chance: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -185,9 +198,10 @@
             };
             let marshal = self.marshals.entry(key).or_insert_with(|| Marshal::new(node, region, reach, now));
             marshal.phase(&node.phase, self.place.id);
+            marshal.new = view.trial(node).is_some();
             marshal.open = node.phase != Phase::Draining
                 && !view.evacuated.contains(&node.zone)
-                && view.in_service(node);
+                && (marshal.new || view.in_service(node));
             let sessions =
                 self.of.as_ref().and_then(|it| it.targets.get(&node.target)).map_or(64, |it| it.max_sessions);
             let service = self.services.entry(Rc::from(node.target.as_str())).or_insert_with(|| Service {
@@ -195,10 +209,49 @@
                 budget: Budget::new(window),
                 usual: 50.0,
                 connections: sessions,
+                trial: None,
             });
             service.connections = sessions;
             service.reach[reach as usize].push(key);
         }
+        self.trials(now, view);
+    }
+
+    fn trials(&mut self, now: Time, view: &View) {
+        for (name, service) in &mut self.services {
+            let roll = view.rollouts.get(name.as_ref()).filter(|roll| roll.state == State::Active);
+            let Some(roll) = roll else {
+                service.trial = None;
+                continue;
+            };
+            if service.trial.as_ref().is_none_or(|trial| trial.number != roll.number) {
+                service.trial = Some(Trial::new(now, roll));
+            }
+            let Some(trial) = &mut service.trial else { continue };
+            trial.moved(now, roll.stage);
+            let (mut new, mut all) = (0.0, 0.0);
+            for marshal in service.reach.iter().flatten().filter_map(|key| self.marshals.get(key)) {
+                if marshal.open && marshal.part.is_none() {
+                    all += marshal.capacity;
+                    new += if marshal.new { marshal.capacity } else { 0.0 };
+                }
+                if marshal.new {
+                    trial.started = trial.started.max(marshal.since);
+                }
+            }
+            trial.even = new / f64::max(all, 1.0);
+        }
+    }
+
+    /// What the core is told of the trials under way.
+    pub fn reports(&mut self, now: Time) -> Vec<Report> {
+        let trials = self.services.iter_mut().filter_map(|(name, it)| Some((name, it.trial.as_mut()?)));
+        trials.map(|(name, trial)| trial.report(now, name)).collect()
+    }
+
+    /// The core was heard.
+    pub fn heard(&mut self, now: Time) {
+        self.heard = now;
     }
 
     /// A request came. `remaining`: milliseconds for which the client waits.
@@ -215,11 +268,28 @@
         let route = self.table.find(host, path).ok_or(Kind::NoRoute)?;
         let route = Rc::clone(route);
         let service = Rc::clone(route.service(self.chance.random()).ok_or(Kind::NoMarshal)?);
+        let mut new = false;
         if let Some(service) = self.services.get_mut(&service) {
             service.budget.request(now);
+            if let Some(trial) = &mut service.trial {
+                trial.request(now, route.class);
+                let slack = self.bounds.exposureSlack * 0.5 / (self.edges + 2.0);
+                let heard = now.saturating_sub(self.heard) < HEARD;
+                let draw = self.chance.random();
+                new = trial.heads(now, route.class, draw, self.bounds.exposureShare, slack, heard);
+            }
         }
         let hold = remaining.unwrap_or(u64::MAX).min(route.guard);
-        Ok(Ticket { deadline: now + hold, route, service, tried: Vec::new(), sent: 0, missed: 0, ran: false })
+        Ok(Ticket {
+            deadline: now + hold,
+            route,
+            service,
+            tried: Vec::new(),
+            sent: 0,
+            missed: 0,
+            ran: false,
+            new,
+        })
     }
 
     /// Picks a marshal for a first sending, or for a further one.
@@ -235,10 +305,18 @@
         let mut full = false;
         let marshals = &mut self.marshals;
         let usual = service.usual;
-        let mut weigh = |key: u64, best: &mut Option<(f64, u64)>, full: &mut bool| {
+        // A further try of a request goes to the version that is known, as long as that has traffic.
+        let last = service.trial.as_ref().is_some_and(|trial| trial.stage >= LAST);
+        let wanted = last || (ticket.new && ticket.sent == 0);
+        let tried = service.trial.is_some();
+        let mut weigh = |key: u64, side: Option<bool>, best: &mut Option<(f64, u64)>, full: &mut bool| {
             let Some(marshal) = marshals.get_mut(&key) else { return };
             let home = ticket.route.regions.is_empty() || ticket.route.regions.contains(&marshal.region);
-            if !home || ticket.tried.contains(&key) || !marshal.takes(now, repeatable) {
+            if side.is_some_and(|side| side != marshal.new)
+                || !home
+                || ticket.tried.contains(&key)
+                || !marshal.takes(now, repeatable)
+            {
                 return;
             }
             if marshal.jobs(now) >= DEEP * marshal.capacity {
@@ -253,19 +331,24 @@
                 *best = Some((cost, key));
             }
         };
+        let side = tried.then_some(wanted);
         for reach in &service.reach {
             if reach.len() <= 2 {
-                reach.iter().for_each(|key| weigh(*key, &mut best, &mut full));
+                reach.iter().for_each(|key| weigh(*key, side, &mut best, &mut full));
             } else {
                 let first = self.chance.random_range(0..reach.len());
                 let other = (first + self.chance.random_range(1..reach.len())) % reach.len();
-                weigh(reach[first], &mut best, &mut full);
-                weigh(reach[other], &mut best, &mut full);
+                weigh(reach[first], side, &mut best, &mut full);
+                weigh(reach[other], side, &mut best, &mut full);
             }
         }
         if best.is_none() {
             // None of those drawn may be sent to: look at all.
-            service.reach.iter().flatten().for_each(|key| weigh(*key, &mut best, &mut full));
+            service.reach.iter().flatten().for_each(|key| weigh(*key, side, &mut best, &mut full));
+        }
+        if best.is_none() && wanted {
+            // The earlier version serves what the new one can't.
+            service.reach.iter().flatten().for_each(|key| weigh(*key, None, &mut best, &mut full));
         }
         let Some((_, key)) = best else {
             let none = if full { Kind::Full } else { Kind::NoMarshal };
@@ -280,6 +363,7 @@
         }
         // All edges together stay under what a marshal accepts; a tenth is for those not heard of yet.
         let connections = (f64::from(service.connections) * 0.9 / (self.edges + 1.0)).max(1.0) as usize;
+        let covariate = service.trial.as_mut().map_or(0.0, |trial| trial.covariate(now, ticket.route.class));
         let Some(marshal) = self.marshals.get_mut(&key) else { return Err(Kind::NoMarshal) };
         marshal.send(now);
         ticket.tried.push(key);
@@ -290,6 +374,7 @@
             address: marshal.address,
             at: now,
             connections,
+            covariate,
         })
     }
 
@@ -320,7 +405,20 @@
                 service.usual += 0.02 * (took as f64 - service.usual);
             }
         }
-        self.marshals.get_mut(&sending.marshal)?.end(now, result, took, load)
+        let marshal = self.marshals.get_mut(&sending.marshal)?;
+        // Errors and time-outs score 1, a time-out being an answer beyond the aim; what never ran is no outcome.
+        let bad = match result {
+            Ended::Served => Some(took > ticket.route.target),
+            Ended::Failed | Ended::Broken | Ended::Silent => Some(true),
+            _ => None,
+        };
+        if let (Some(bad), Some(service)) = (bad, self.services.get_mut(&ticket.service)) {
+            if let Some(trial) = &mut service.trial {
+                let known = sending.at.saturating_sub(marshal.since);
+                trial.outcome(now, ticket.route.class, marshal.new, bad, sending.covariate, known);
+            }
+        }
+        marshal.end(now, result, took, load)
     }
 
     /// A client left while a sending was out.
--- a/crates/course/src/marshal.rs
+++ b/crates/course/src/marshal.rs
@@ -81,6 +81,8 @@
     pub reach: Reach,
     /// May be sent to as far as its zone, version and phase go.
     pub open: bool,
+    /// Its version is on trial.
+    pub new: bool,
     /// What this edge may send in any second while it is cold; none: no such bound.
     pub part: Option<u32>,
     /// When this edge sent to it, within the last second while it is cold.
@@ -111,6 +113,7 @@
             capacity: f64::from(node.capacity.max(1)),
             reach,
             open: false,
+            new: false,
             part: None,
             sent: VecDeque::new(),
             out: 0,
--- a/crates/decision/src/moments.rs
+++ b/crates/decision/src/moments.rs
@@ -1,75 +1,13 @@
-//! Generic containers and sums, free of any decision: sums of pairs and what chance would make of them, a sliding count
+//! Generic containers, free of any decision: what chance would make of sums of pairs, a sliding count
 //! told its span by the caller, and seeded dice.
 
 use crate::interface::Ms;
+pub use milletwing_verity::Sums;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use serde::{Deserialize, Serialize};
 use statrs::distribution::{Binomial, DiscreteCDF};
 use std::collections::VecDeque;
 
-/// Sums over units of a score `y` and a covariate `x`.
-#[derive(Clone, Copy, Default, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Sums {
-    /// Count.
-    pub n: f64,
-    /// Sum of scores.
-    pub y: f64,
-    /// Sum of covariates.
-    pub x: f64,
-    /// Sum of squared scores.
-    pub yy: f64,
-    /// Sum of squared covariates.
-    pub xx: f64,
-    /// Sum of products.
-    pub xy: f64,
-}
-
-impl Sums {
-    /// Adds a unit.
-    pub fn add(&mut self, y: f64, x: f64) {
-        *self = self.plus(&Sums { n: 1.0, y, x, yy: y * y, xx: x * x, xy: x * y });
-    }
-    /// Turns the score of a unit at the mean covariate from 0 to 1, if one is left.
-    pub fn flip(&mut self) {
-        if self.y < self.n {
-            self.xy += self.x / self.n;
-            self.y += 1.0;
-            self.yy += 1.0;
-        }
-    }
-    /// Both together.
-    pub fn plus(&self, o: &Sums) -> Sums {
-        Sums {
-            n: self.n + o.n,
-            y: self.y + o.y,
-            x: self.x + o.x,
-            yy: self.yy + o.yy,
-            xx: self.xx + o.xx,
-            xy: self.xy + o.xy,
-        }
-    }
-    /// All sums times a factor.
-    pub fn fade(&mut self, factor: f64) {
-        for sum in [&mut self.n, &mut self.y, &mut self.x, &mut self.yy, &mut self.xx, &mut self.xy] {
-            *sum *= factor;
-        }
-    }
-    /// Centred sums of squares and products: of covariates, of scores, of both.
-    pub fn centred(&self) -> (f64, f64, f64) {
-        let n = self.n.max(1e-12);
-        (self.xx - self.x * self.x / n, self.yy - self.y * self.y / n, self.xy - self.x * self.y / n)
-    }
-    /// Variance of score minus theta times covariate; 0 for fewer than two units.
-    pub fn variance(&self, theta: f64) -> f64 {
-        let (xx, yy, xy) = self.centred();
-        if self.n < 2.0 {
-            return 0.0;
-        }
-        ((yy - 2.0 * theta * xy + theta * theta * xx) / (self.n - 1.0)).max(0.0)
-    }
-}
-
 /// What the second of two sides scores beyond the first, over units that are alike: those of a class, or of a period.
 #[derive(Clone, Copy, Default, Debug, PartialEq)]
 pub struct Excess {
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -3,9 +3,11 @@
 //! (settings, events, actions) stand in `interface.rs`. Values marked "page" come from the design page.
 
 use crate::interface::*;
-use crate::moments::{Dice, Excess, Periods, Sums, Times};
+use crate::moments::{Dice, Excess, Periods, Times};
 use crate::state::{Attempt, Calls, Cast, Ended, Flow, Heard, Node, Request, Step, Together, Trial};
-use statrs::distribution::{Binomial, ContinuousCDF, DiscreteCDF, StudentsT};
+pub use milletwing_verity::adjusted_test;
+use milletwing_verity::Sums;
+use statrs::distribution::{Binomial, DiscreteCDF};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -64,33 +66,6 @@
 const MORE: f64 = 1.25;
 const MET_PART: f64 = 0.25;
 
-/// The adjusted test (page; the paper's equations 4 and 7): each class holds the sums of the earlier build
-/// and of the build on trial. Gives the adjusted delta, its error, the statistic and the one-sided p.
-pub fn adjusted_test(classes: &[[Sums; 2]], shares: &[f64]) -> (f64, f64, f64, f64) {
-    let total = |arm: usize| classes.iter().fold(Sums::default(), |sum, class| sum.plus(&class[arm]));
-    let (old, new) = (total(0), total(1));
-    let all = old.plus(&new);
-    let (spread, _, shared) = all.centred();
-    let theta = if spread > 1e-9 { shared / spread } else { 0.0 };
-    let both = |c: &[Sums; 2]| c[0].n > 0.0 && c[1].n > 0.0;
-    let weight: f64 = classes.iter().zip(shares).filter(|(c, _)| both(c)).map(|(_, share)| share).sum();
-    let mean = |s: &Sums| (s.y - theta * s.x) / s.n;
-    let delta: f64 = (classes.iter().zip(shares))
-        .filter(|(c, _)| both(c))
-        .map(|(c, share)| share / weight * (mean(&c[1]) - mean(&c[0])))
-        .sum();
-    let parts = [&old, &new].map(|s| if s.n > 0.0 { s.variance(theta) / s.n } else { 0.0 });
-    let error = (parts[0] + parts[1]).sqrt();
-    if error <= 1e-12 || weight <= 0.0 {
-        return (delta, error, 0.0, 0.5);
-    }
-    let t = delta / error;
-    let below = |part: f64, n: f64| if n > 1.0 { part * part / (n - 1.0) } else { 0.0 };
-    let freedom = (error.powi(4) / (below(parts[0], old.n) + below(parts[1], new.n))).max(1.0);
-    let p = StudentsT::new(0.0, 1.0, freedom).map_or(0.5, |law| 1.0 - law.cdf(t));
-    (delta, error, t, p)
-}
-
 /// One marshal.
 #[derive(Debug, Default)]
 pub struct Marshal {
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -1,7 +1,8 @@
 //! What a marshal holds of nodes, requests and trials: plain records, free of any decision.
 
 use crate::interface::*;
-use crate::moments::{Mean, Sums, Times};
+use crate::moments::{Mean, Times};
+use milletwing_verity::Sums;
 use std::collections::{BTreeMap, VecDeque};
 
 /// A server as this marshal knows it.
--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -57,6 +57,8 @@
     Evacuate { zone: String, on: bool, deals: Vec<(String, Deal)> },
     /// A version is to be brought in, within so many milliseconds.
     RollOut { service: String, revision: String, period_ms: u64 },
+    /// A roll-out moves to a stage.
+    Stage { service: String, number: u64, stage: u32 },
     /// A roll-out ends: the new version stays, or goes back.
     Settle { service: String, number: u64, good: bool },
 }
--- a/crates/ledger/src/view.rs
+++ b/crates/ledger/src/view.rs
@@ -53,6 +53,8 @@
     pub period_ms: u64,
     /// How far it is.
     pub state: State,
+    /// And at which stage, while it is under way.
+    pub stage: u32,
 }
 
 /// What became of an entry.
@@ -150,6 +152,14 @@
             Command::RollOut { service, revision, period_ms } => {
                 self.roll_out(index, service, revision, *period_ms)
             }
+            Command::Stage { service, number, stage } => {
+                if let Some(roll) = self.rollouts.get_mut(service) {
+                    if roll.number == *number && roll.state == State::Active {
+                        roll.stage = roll.stage.max(*stage); // a deposed leader's word comes late
+                    }
+                }
+                Outcome::Done
+            }
             Command::Settle { service, number, good } => self.settle(service, *number, *good),
         }
     }
@@ -247,7 +257,7 @@
             Some(settled) if settled == revision => State::Completed,
             _ => State::Active,
         };
-        let roll = RollOut { number: index, to: revision.into(), period_ms, state };
+        let roll = RollOut { number: index, to: revision.into(), period_ms, state, stage: 0 };
         self.rollouts.insert(service.into(), roll);
         Outcome::Done
     }
@@ -263,6 +273,12 @@
         Outcome::Done
     }
 
+    /// The roll-out that a marshal's version is on trial in.
+    pub fn trial(&self, node: &Node) -> Option<&RollOut> {
+        let roll = self.rollouts.get(&node.target)?;
+        (roll.state == State::Active && roll.to == node.revision && !self.in_service(node)).then_some(roll)
+    }
+
     /// Whether a marshal's version has its service's traffic.
     pub fn in_service(&self, node: &Node) -> bool {
         self.settled.get(&node.target).is_none_or(|settled| *settled == node.revision)
--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -6,9 +6,10 @@
 use milletwing_accord::{Id, Mark, Member, Message, Options, Payload, Role};
 use milletwing_ledger::pack::pack;
 use milletwing_ledger::registry::Verdict;
-use milletwing_ledger::{Beat, Command, Heard, Outcome, Registry, State, View};
+use milletwing_ledger::{Beat, Command, Heard, Outcome, Registry, RollOut, State, View};
 use milletwing_tenet::{tell, Kind, Settings};
 use milletwing_tidings::{frame, Answer, Ask, Down, Peer};
+use milletwing_verity::{pace, Move, Report, Tally, LAST};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::path::PathBuf;
@@ -30,6 +31,14 @@
 /// Entries, and bytes of them, kept for edges that resume.
 const RECENT: (usize, usize) = (4096, 4 << 20);
 
+struct Judged {
+    /// Since when this leader has known of it, and of its newest marshal.
+    begun: Time,
+    started: Time,
+    nodes: usize,
+    tally: Tally,
+}
+
 struct Feed {
     sent: u64,
     send: mpsc::Sender<Rc<Vec<u8>>>,
@@ -61,8 +70,8 @@
     told: Time,
     lost: bool,
     members: Vec<Id>,
-    /// Since when this machine, as leader, has known of a roll-out under way.
-    begun: BTreeMap<u64, Time>,
+    /// Trials under way, as this machine judges them while it leads.
+    trials: BTreeMap<u64, Judged>,
     /// When machines asked to be taken in.
     joins: BTreeMap<Id, Time>,
     /// The whole state as edges get it, as of an entry: made once for all that ask.
@@ -111,7 +120,7 @@
             told: 0,
             lost,
             members: Vec::new(),
-            begun: BTreeMap::new(),
+            trials: BTreeMap::new(),
             whole: None,
             joins: BTreeMap::new(),
         })))
@@ -286,6 +295,7 @@
             (Command::RollOut { service, revision, .. }, _) => {
                 tell!(RollOut, "{service}: {revision} ordered")
             }
+            (Command::Stage { service, stage, .. }, _) => tell!(RollOut, "{service}: stage {stage}"),
             (Command::Settle { service, good, .. }, _) => {
                 tell!(RollOut, "{service}: {}", if *good { "completed" } else { "reverted" })
             }
@@ -298,6 +308,7 @@
         let (role, leader) = (self.member.role(), self.member.leader());
         if role == Role::Leader && self.role != Role::Leader {
             tell!(Leads, "term {}", self.member.term());
+            self.trials.clear();
             self.registry.lead(now, &self.view, &Core::cold_for(&self.view));
         }
         if leader != self.leader && role != Role::Leader {
@@ -343,6 +354,11 @@
                         let _ = call.send(answer);
                     }
                 }
+                Peer::Reports { edge, life, reports } => {
+                    if core.role == Role::Leader {
+                        core.reports(edge, life, reports);
+                    }
+                }
                 Peer::Join => {
                     core.joins.insert(from, now);
                     core.joins.retain(|_, at| now.saturating_sub(*at) < REPLACED);
@@ -377,21 +393,7 @@
         let silence = (self.settings.provider.report_s * 3_000.0) as Time + 1_000;
         if self.role == Role::Leader {
             let mut commands = self.registry.sweep(now, &self.view, silence);
-            let active = self.view.rollouts.iter().filter(|(_, roll)| roll.state == State::Active);
-            let begun: BTreeMap<u64, Time> = active
-                .map(|(_, roll)| (roll.number, *self.begun.get(&roll.number).unwrap_or(&now)))
-                .collect();
-            self.begun = begun;
-            // One that nothing has moved by the end of its time goes back.
-            let over = self.view.rollouts.iter().filter(|(_, roll)| {
-                let begun = self.begun.get(&roll.number);
-                roll.state == State::Active && begun.is_some_and(|at| now >= at + roll.period_ms * 9 / 10)
-            });
-            commands.extend(over.map(|(service, roll)| Command::Settle {
-                service: service.clone(),
-                number: roll.number,
-                good: false,
-            }));
+            commands.extend(self.judge(now));
             for command in commands {
                 self.member.propose(now, command.bytes());
             }
@@ -428,6 +430,67 @@
         }
     }
 
+    /// What follows for the trials under way.
+    fn judge(&mut self, now: Time) -> Vec<Command> {
+        let mut out = Vec::new();
+        let active: Vec<(String, RollOut)> = self
+            .view
+            .rollouts
+            .iter()
+            .filter(|(_, roll)| roll.state == State::Active)
+            .map(|(service, roll)| (service.clone(), roll.clone()))
+            .collect();
+        self.trials.retain(|number, _| active.iter().any(|(_, roll)| roll.number == *number));
+        for (service, roll) in active {
+            let trial = self.trials.entry(roll.number).or_insert_with(|| Judged {
+                begun: now,
+                started: now,
+                nodes: 0,
+                tally: Tally::new(now, roll.stage),
+            });
+            trial.tally.moved(now, roll.stage);
+            let nodes = self
+                .view
+                .nodes
+                .values()
+                .filter(|node| node.target == service && node.revision == roll.to)
+                .count();
+            if nodes > trial.nodes {
+                (trial.nodes, trial.started) = (nodes, now);
+            }
+            // One that nothing has moved to its end by the end of its time goes back.
+            let over = now >= trial.begun + roll.period_ms * 19 / 20;
+            let step =
+                if nodes == 0 { None } else { trial.tally.step(now, trial.started, pace(roll.period_ms)) };
+            let number = roll.number;
+            out.extend(match (step, over) {
+                (Some(Move::On), _) if roll.stage >= LAST => {
+                    Some(Command::Settle { service, number, good: true })
+                }
+                (Some(Move::Back), _) | (None, true) => {
+                    Some(Command::Settle { service, number, good: false })
+                }
+                (Some(Move::On), _) => Some(Command::Stage { service, number, stage: roll.stage + 1 }),
+                (None, false) => None,
+            });
+        }
+        out
+    }
+
+    /// What an edge tells of the trials: to whoever leads.
+    pub fn reports(&mut self, edge: u32, life: u64, reports: Vec<Report>) {
+        let now = self.now();
+        if self.role == Role::Leader {
+            for report in reports {
+                if let Some(trial) = self.trials.get_mut(&report.number) {
+                    trial.tally.report(now, edge, life, report);
+                }
+            }
+        } else if let Some(leader) = self.leader {
+            self.post(leader, &Peer::Reports { edge, life, reports });
+        }
+    }
+
     /// Ends the membership of a machine that is silent, once there are more members than the losses to be borne ask for:
     /// another has taken its place. Its vote would only stand in the way of a majority.
     fn replace(&mut self, now: Time) {
--- a/crates/tenet/src/settings.rs
+++ b/crates/tenet/src/settings.rs
@@ -142,6 +142,10 @@
     pub warmupExcess: f64,
     /// And beyond that, in requests.
     pub warmupSlack: f64,
+    /// Part of a service's requests that a bad version may get.
+    pub exposureShare: f64,
+    /// And beyond that, in requests.
+    pub exposureSlack: f64,
     /// Seconds until edges in touch send nothing more to an evacuated zone.
     pub evacuationS: f64,
     /// The longest time that a resolution may be held, in seconds.
@@ -160,6 +164,8 @@
             retrySlack: 50.0,
             warmupExcess: 1.5,
             warmupSlack: 5.0,
+            exposureShare: 0.1,
+            exposureSlack: 50.0,
             evacuationS: 5.0,
             ttl_max_s: 5.0,
         }
--- a/crates/tidings/src/lib.rs
+++ b/crates/tidings/src/lib.rs
@@ -3,6 +3,7 @@
 
 use milletwing_accord::{Id, Message};
 use milletwing_ledger::{Beat, Command, Heard};
+use milletwing_verity::Report;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::io::{Error, ErrorKind};
@@ -37,6 +38,8 @@
     Reply { number: u64, answer: Answer },
     /// One that isn't a member would be.
     Join,
+    /// What an edge told of the trials under way: its number and life.
+    Reports { edge: u32, life: u64, reports: Vec<Report> },
 }
 
 /// What a member passes on to the leader.
@@ -71,8 +74,8 @@
 /// From an edge.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Up {
-    /// It lives, and has folded so much.
-    Beat(Heard, u64),
+    /// It lives, has folded so much, and sees this of the trials under way.
+    Beat(Heard, u64, Vec<Report>),
 }
 
 /// To an edge.
--- /dev/null
+++ b/crates/verity/src/tally.rs
@@ -0,0 +1,90 @@
+//! What the core makes of all proxies' votes, and of their sums added up: a proxy of a large fleet sees a few outcomes a
+//! second, so that its own looks alone would find a bad version late.
+
+use crate::{clock, Report, Sums, Time, Vote, Watch, CLASSES};
+use std::collections::BTreeMap;
+
+/// What follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Move {
+    /// The next stage; after the last one, the end.
+    On,
+    /// Back to the earlier version.
+    Back,
+}
+
+/// Part of the proxies that vote back which is enough, two at least: one errs at a level of 0.01 a stage.
+const BACK: f64 = 0.2;
+/// Part of the proxies that vote on which is enough.
+const ON: f64 = 0.5;
+/// A report older than this speaks for nobody.
+const FRESH: Time = 3_000;
+
+/// The votes on one trial.
+#[derive(Debug)]
+pub struct Tally {
+    stage: u32,
+    /// Since when it is at this stage, as far as this leader knows.
+    since: Time,
+    reports: BTreeMap<(u32, u64), (Time, Report)>,
+    pooled: Watch,
+}
+
+impl Tally {
+    /// Of a trial that is at a stage.
+    pub fn new(now: Time, stage: u32) -> Tally {
+        Tally { stage, since: now, reports: BTreeMap::new(), pooled: Watch::new(0.0) }
+    }
+
+    /// A proxy's report; a later one of the same life takes the place of the earlier, so that none counts twice.
+    pub fn report(&mut self, now: Time, proxy: u32, life: u64, report: Report) {
+        if self.reports.len() < 1024 || self.reports.contains_key(&(proxy, life)) {
+            self.reports.insert((proxy, life), (now, report));
+        }
+    }
+
+    /// The trial has moved on.
+    pub fn moved(&mut self, now: Time, stage: u32) {
+        if stage != self.stage {
+            (self.stage, self.since) = (stage, now);
+            self.pooled = Watch::new(self.pool().0.iter().map(|arms| arms[1].n).sum());
+        }
+    }
+
+    /// Evidence of all proxies: sums and requests by class.
+    pub fn pool(&self) -> ([[Sums; 2]; CLASSES], [f64; CLASSES]) {
+        let mut sums = [[Sums::default(); 2]; CLASSES];
+        let mut counts = [0.0; CLASSES];
+        for (_, report) in self.reports.values() {
+            for class in 0..CLASSES {
+                for arm in 0..2 {
+                    sums[class][arm] = sums[class][arm].plus(&report.sums[class][arm]);
+                }
+                counts[class] += report.counts[class];
+            }
+        }
+        (sums, counts)
+    }
+
+    /// What follows now, if anything. `started`: when the newest marshal of the new version registered; `pace`: how long a
+    /// stage lasts at least.
+    pub fn step(&mut self, now: Time, started: Time, pace: Time) -> Option<Move> {
+        let fresh =
+            || self.reports.values().filter(|(at, _)| now.saturating_sub(*at) <= FRESH).map(|(_, it)| it);
+        let here = || fresh().filter(|report| report.stage == self.stage);
+        let back = fresh().filter(|report| report.vote == Some(Vote::Back)).count() as f64;
+        let all = fresh().count() as f64;
+        if back >= (BACK * all).max(2.0) {
+            return Some(Move::Back);
+        }
+        let (sums, counts) = self.pool();
+        let clock = clock(self.stage, self.since, started, pace);
+        let pooled = self.pooled.judge(now, &sums, &counts, clock, pace);
+        if pooled == Some(Vote::Back) {
+            return Some(Move::Back);
+        }
+        let on = here().filter(|report| report.vote == Some(Vote::On)).count() as f64;
+        let enough = all > 0.0 && on >= ON * all;
+        (now >= clock && pooled == Some(Vote::On) && enough).then_some(Move::On)
+    }
+}
