Tests of readings and of folded histories; the catalogue of events

Change: tests of tenet (settings cut at every byte, each invalid thing of the protocol, encodings, the table of answers, the events' catalogue) and of ledger (winners of If-Match, differences, late beats, second lives, cold parts for 0 to 91 edges, zones taken back, silence, roll-outs).

--- /dev/null
+++ b/crates/ledger/tests/histories.rs
@@ -0,0 +1,220 @@
+//! Histories of entries and beats, judged after the fact.
+
+use milletwing_ledger::registry::Verdict;
+use milletwing_ledger::{Beat, Command, Heard, Node, Outcome, Phase, Registry, State, View};
+use milletwing_tenet::Kind;
+use std::collections::BTreeMap;
+
+fn body(revision: u64, routes: usize) -> Vec<u8> {
+    let route = |at: usize| {
+        format!(
+            r#""r{at}":{{"domain":"h{at}.example","pathPrefix":"/p{at}/","trafficClass":"idempotent","guardS":5,"target":"s"}}"#
+        )
+    };
+    let routes: Vec<String> = (0..routes).map(route).collect();
+    format!(
+        r#"{{"revision":{revision},"routing":{{{}}},"targets":{{"s":{{"maxSessions":110,"warmupS":3.0,"warmupPerS":26.0}},
+        "thin":{{"maxSessions":110,"warmupS":3.0,"warmupPerS":2.6}}}},"thresholds":{{}}}}"#,
+        routes.join(",")
+    )
+    .into_bytes()
+}
+
+fn configured(revision: u64) -> View {
+    let mut view = View::default();
+    let command = view.to_configure(revision, &body(revision, 1)).unwrap();
+    assert_eq!(view.apply(1, &command), Outcome::Done);
+    view
+}
+
+fn beat(target: &str, address: &str, state: &str, left: f64, counter: u64) -> Beat {
+    let text = format!(
+        r#"{{"target":"{target}","address":"{address}","zone":"a","revision":"v1","capacity":2,"state":"{state}",
+        "warmupLeftS":{left},"callCounter":{counter}}}"#
+    );
+    Beat::read(text.as_bytes()).unwrap()
+}
+
+fn edge(id: u32, zone: &str, region: &str) -> Heard {
+    Heard {
+        id,
+        zone: zone.into(),
+        region: region.into(),
+        ingress: format!("10.0.0.{}:80", id % 250).parse().unwrap(),
+        ready: true,
+        life: 1,
+    }
+}
+
+/// Takes a beat, and folds the entry that it asks for.
+fn take(view: &mut View, registry: &mut Registry, now: u64, id: &str, beat: &Beat) -> bool {
+    match registry.beat(now, view, id, beat) {
+        Verdict::Known => false,
+        Verdict::Enter(command) => {
+            let index = view.index + 1;
+            view.apply(index, &command);
+            true
+        }
+    }
+}
+
+#[test]
+fn of_two_configurations_on_one_version_one_wins_and_the_same_again_is_taken() {
+    let mut view = configured(4);
+    let (first, second) = (view.to_configure(7, &body(7, 2)).unwrap(), view.to_configure(9, &body(9, 3)).unwrap());
+    assert_eq!(view.apply(2, &first), Outcome::Done);
+    assert_eq!(view.apply(3, &second), Outcome::Refused(Kind::Stale(7)));
+    assert_eq!(view.apply(4, &first), Outcome::Done, "a call that got no clear answer goes out again unchanged");
+    assert_eq!((view.revision, view.body.as_slice()), (7, body(7, 2).as_slice()));
+    let old = view.to_configure(6, &body(6, 1)).unwrap();
+    assert_eq!(view.apply(5, &old), Outcome::Refused(Kind::OldRevision(6, 7)));
+    // Taken long ago, it is still known as taken, and doesn't come back into force.
+    let next = view.to_configure(12, &body(12, 1)).unwrap();
+    assert_eq!(view.apply(6, &next), Outcome::Done);
+    assert_eq!(view.apply(7, &first), Outcome::Done);
+    assert_eq!(view.revision, 12);
+}
+
+#[test]
+fn a_configuration_is_a_difference_and_comes_out_as_it_was_sent() {
+    let mut view = configured(1);
+    let large = view.to_configure(2, &body(2, 1500)).unwrap();
+    view.apply(2, &large);
+    let mut more = body(3, 1501);
+    let next = view.to_configure(3, &more).unwrap();
+    assert!(next.bytes().len() * 50 < more.len(), "{} bytes for one route more of {}", next.bytes().len(), more.len());
+    assert_eq!(view.apply(3, &next), Outcome::Done);
+    assert_eq!(view.body.as_slice(), more);
+    // A bit turned on the way is not another configuration.
+    let mut turned = view.to_configure(4, &body(4, 1)).unwrap();
+    if let Command::Configure { digest, .. } = &mut turned {
+        digest[0] ^= 1;
+    }
+    assert!(matches!(view.apply(4, &turned), Outcome::Refused(Kind::Unreadable(_))));
+    assert_eq!(view.revision, 3);
+    more.clear();
+    let again = View::from_bytes(&view.bytes()).unwrap();
+    assert_eq!(again.bytes(), view.bytes());
+    assert_eq!(again.configuration().unwrap().routing.len(), 1501);
+}
+
+#[test]
+fn a_marshal_that_drains_stays_so_whatever_comes_late() {
+    let (mut view, mut registry) = (configured(1), Registry::default());
+    let up = beat("s", "10.0.0.9:80", "available", 0.0, 1);
+    assert!(take(&mut view, &mut registry, 10, "i-1", &up));
+    assert!(!take(&mut view, &mut registry, 20, "i-1", &beat("s", "10.0.0.9:80", "available", 0.0, 2)));
+    assert!(take(&mut view, &mut registry, 30, "i-1", &beat("s", "10.0.0.9:80", "draining", 0.0, 4)));
+    // A beat that was overtaken, here and at a machine that never heard the later one.
+    let late = beat("s", "10.0.0.9:80", "available", 0.0, 3);
+    take(&mut view, &mut registry, 40, "i-1", &late);
+    take(&mut view, &mut Registry::default(), 40, "i-1", &late);
+    assert_eq!(view.nodes["i-1"].phase, Phase::Draining);
+    let Verdict::Enter(gone) = registry.leave(&view, "i-1") else { panic!("its end is an entry") };
+    view.apply(view.index + 1, &gone);
+    take(&mut view, &mut registry, 50, "i-1", &late);
+    take(&mut view, &mut Registry::default(), 50, "i-1", &late);
+    assert!(view.nodes.is_empty(), "a late beat brings back what has left");
+}
+
+#[test]
+fn another_life_at_an_address_ends_the_earlier_one() {
+    let (mut view, mut registry) = (configured(1), Registry::default());
+    take(&mut view, &mut registry, 10, "i-1", &beat("s", "10.0.0.9:80", "available", 0.0, 1));
+    // Of a service that no configuration names yet: it is kept, and gets nothing as long as no route leads there.
+    take(&mut view, &mut registry, 20, "i-2", &beat("unheard", "10.0.0.9:80", "available", 0.0, 1));
+    assert_eq!(view.nodes.keys().collect::<Vec<_>>(), ["i-2"]);
+    for wrong in [r#"{"target":"s"}"#, "", "{", r#"{"target":"s","address":"x","zone":"a","revision":"v","capacity":1,"state":"available"}"#] {
+        assert!(matches!(Beat::read(wrong.as_bytes()), Err(Kind::BadBeat(_))), "{wrong}");
+    }
+}
+
+/// What is dealt out of a cold marshal is what it bears, whoever the edges are and whether they can still be reached.
+#[test]
+fn a_cold_marshals_parts_add_up_to_what_it_bears() {
+    for edges in [0, 1, 2, 9, 40, 91] {
+        for (service, bears) in [("s", 26), ("thin", 2), ("unheard", 0)] {
+            let (view, mut registry) = (configured(1), Registry::default());
+            for id in 1..=edges {
+                let zone = ["a", "b", "c"][id as usize % 3];
+                registry.edge(100, edge(id, zone, if zone == "c" { "south" } else { "north" }), 0);
+            }
+            let deal = registry.deal(100, &view, service, "a");
+            let sum: u32 = deal.iter().map(|(_, part)| part).sum();
+            assert_eq!(sum, if edges == 0 { 0 } else { bears }, "{edges} edges, {service}: {deal:?}");
+            let named: std::collections::BTreeSet<_> = deal.iter().map(|(id, _)| id).collect();
+            assert_eq!(named.len(), deal.len(), "an edge has one part");
+        }
+    }
+}
+
+#[test]
+fn a_zone_taken_back_is_cold_whatever_its_marshals_said_before() {
+    let (mut view, mut registry) = (configured(1), Registry::default());
+    registry.edge(0, edge(1, "a", "north"), 0);
+    take(&mut view, &mut registry, 10, "i-1", &beat("s", "10.0.0.9:80", "available", 0.0, 1));
+    let on = Command::Evacuate { zone: "a".into(), on: true, deals: Vec::new() };
+    view.apply(view.index + 1, &on);
+    let back = registry.take_back(1_000, &view, "a", &|_| 3.0);
+    view.apply(view.index + 1, &back);
+    // A beat that was on its way says that it is warm.
+    assert!(!take(&mut view, &mut registry, 1_100, "i-1", &beat("s", "10.0.0.9:80", "available", 0.0, 2)));
+    assert!(matches!(view.nodes["i-1"].phase, Phase::Cold(_)));
+    assert!(registry.sweep(4_000, &view, 60_000).is_empty());
+    assert_eq!(registry.sweep(4_600, &view, 60_000), [Command::NodeWarm { id: "i-1".into() }]);
+    // The same order again changes nothing.
+    let before = view.nodes.clone();
+    view.apply(view.index + 1, &back);
+    assert_eq!(view.nodes, before);
+}
+
+#[test]
+fn silent_marshals_are_taken_out_unless_most_are_silent() {
+    let (mut view, mut registry) = (configured(1), Registry::default());
+    for at in 0..10 {
+        let address = format!("10.0.0.{at}:80");
+        take(&mut view, &mut registry, 10, &format!("i-{at}"), &beat("s", &address, "available", 0.0, 1));
+    }
+    let ids = |range: std::ops::Range<u32>| range.map(|at| format!("i-{at}")).collect::<Vec<_>>();
+    registry.heard(6_000, &ids(0..4));
+    assert!(registry.sweep(7_000, &view, 5_000).is_empty(), "six of ten silent: this side doesn't hear");
+    registry.heard(7_000, &ids(4..8));
+    let gone = registry.sweep(7_000, &view, 5_000);
+    assert_eq!(gone.len(), 2, "{gone:?}");
+    for command in &gone {
+        view.apply(view.index + 1, command);
+    }
+    assert!(take(&mut view, &mut registry, 8_000, "i-9", &beat("s", "10.0.0.9:80", "available", 0.0, 2)), "it was only cut off");
+}
+
+#[test]
+fn a_roll_out_moves_forward_only_and_its_end_holds() {
+    let mut view = configured(1);
+    let node = Node {
+        id: "i-1".into(),
+        target: "s".into(),
+        address: "10.0.0.9:80".parse().unwrap(),
+        zone: "a".into(),
+        revision: "v1".into(),
+        capacity: 2,
+        phase: Phase::Warm,
+    };
+    view.apply(2, &Command::NodeUp(node.clone()));
+    let new = Node { id: "i-2".into(), address: "10.0.0.8:80".parse().unwrap(), revision: "v2".into(), ..node.clone() };
+    view.apply(3, &Command::NodeUp(new.clone()));
+    assert!(!view.in_service(&new) && view.trial(&new).is_none(), "nobody ordered it");
+    let order = Command::RollOut { service: "s".into(), revision: "v2".into(), period_ms: 12_000 };
+    view.apply(4, &order);
+    let stage = |number, stage| Command::Stage { service: "s".into(), number, stage };
+    view.apply(5, &stage(4, 2));
+    view.apply(6, &stage(4, 1)); // of a leader deposed since
+    view.apply(7, &stage(3, 3)); // of another roll-out
+    view.apply(8, &order); // the same order again
+    assert_eq!(view.trial(&new).map(|roll| (roll.number, roll.stage)), Some((4, 2)));
+    view.apply(9, &Command::Settle { service: "s".into(), number: 4, good: true });
+    view.apply(10, &Command::Settle { service: "s".into(), number: 4, good: false });
+    assert_eq!(view.rollouts["s"].state, State::Completed);
+    assert!(view.in_service(&new) && !view.in_service(&node));
+    let kept: BTreeMap<_, _> = view.settled.clone();
+    assert_eq!((kept["s"].as_str(), view.revision), ("v2", 1), "a stage is no version of the configuration");
+}
--- /dev/null
+++ b/crates/tenet/tests/reading.rs
@@ -0,0 +1,118 @@
+//! What operators and the platform hand in: read whole, or refused with a reason that names the place.
+
+use expect_test::expect;
+use milletwing_tenet::{Configuration, Event, Kind, Settings};
+
+const SETTINGS: &str = r#"
+[self]
+nodeName = "edge-a-1"
+function = "carrier"
+ipAddress = "10.1.0.34"
+zone = "a"
+region = "north"
+counted = false
+initialAttach = true
+unheardOf = { deep = 1 }
+[self.thresholds]
+cpuQuota = 0.2
+memoryMb = 260
+maxFiles = 4100
+[network]
+internalPorts = [7540, 7555]
+seedList = ["10.1.0.36:8544"]
+[network.bindings]
+ingress = "10.1.0.34:8548"
+[network.zones]
+a = "north"
+[timers.guarantees]
+drainS = 2
+applyS = 2.5
+"#;
+
+const CONFIGURATION: &str = r#"{"revision":7,"routing":{"r":{"domain":"h.example","pathPrefix":"/a/",
+"trafficClass":"idempotent","guardS":5,"targetS":0.8,"priority":2,"distribution":[{"target":"s","share":90},
+{"target":"t","share":10}],"maxTries":2,"servingRegions":[]}},"targets":{"s":{"probePath":"/health","maxSessions":110,
+"protocol":"h1","tls":false,"warmupS":3.0,"warmupPerS":2.6},"t":{}},"thresholds":{"maxHeaderBytes":16384,
+"maxBodyBytes":67108864,"headerGuardS":3,"idleGuardS":15}}"#;
+
+#[test]
+fn settings_are_read_with_fields_that_nobody_knows() {
+    let settings = Settings::read(SETTINGS).unwrap();
+    assert_eq!((settings.id(), settings.region("a")), (0x0a01_0022, "north"));
+    assert_eq!(settings.timers.guarantees.applyS, 2.5);
+    assert_eq!(settings.timers.guarantees.retryBudgetRatio, 0.2, "what is absent has the pages' value");
+}
+
+/// Cut off at any byte, the file is refused or lacks whole tables that may be absent; it never gives a wrong address.
+#[test]
+fn half_written_settings_are_refused_or_say_the_same() {
+    let whole = Settings::read(SETTINGS).unwrap();
+    for end in 0..SETTINGS.len() {
+        if let Ok(part) = Settings::read(&SETTINGS[..end]) {
+            assert_eq!(part.own.ip_address, whole.own.ip_address);
+            assert_eq!(part.network.internal_ports, whole.network.internal_ports);
+        }
+    }
+    let refused = |from: &str, to: &str| Settings::read(&SETTINGS.replace(from, to)).unwrap_err();
+    expect!["network.internalPorts: 7555 to 7540 is no span of ports"].assert_eq(&refused("[7540, 7555]", "[7555, 7540]"));
+    assert!(refused("ipAddress = \"10.1.0.34\"", "").contains("ipAddress"));
+    assert!(refused("10.1.0.36:8544", "somewhere").contains("somewhere") || refused("10.1.0.36:8544", "x").contains("seedList"));
+    expect!["network.bindings.readiness is missing"].assert_eq(&whole.binding("readiness").unwrap_err());
+}
+
+#[test]
+fn each_invalid_thing_of_the_protocol_has_its_own_kind() {
+    let valid = Configuration::read(CONFIGURATION.as_bytes()).unwrap();
+    assert_eq!((valid.revision, valid.routing["r"].shares().len()), (7, 2));
+    let refused = |from: &str, to: &str| {
+        let text = CONFIGURATION.replace(from, to);
+        assert_ne!(text, CONFIGURATION, "{from}");
+        Configuration::read(text.as_bytes()).unwrap_err()
+    };
+    assert_eq!(refused("\"t\",\"share\"", "\"u\",\"share\""), Kind::UnknownService("r".into(), "u".into()));
+    assert_eq!(refused("\"share\":10", "\"share\":-1"), Kind::NegativeShare("r".into()));
+    assert_eq!(refused("\"guardS\":5", "\"guardS\":600.5"), Kind::LongGuard("r".into()));
+    assert_eq!(refused("\"targetS\":0.8", "\"targetS\":65"), Kind::FarTarget("r".into()));
+    assert_eq!(refused("\"/a/\"", "\"a/\""), Kind::BarePrefix("r".into()));
+    assert_eq!(refused("\"idempotent\"", "\"idem\""), Kind::OddClass("r".into(), "idem".into()));
+    assert!(matches!(refused("\"revision\":7", "\"revision\":\"7\""), Kind::Unreadable(_)));
+    // What is just within is valid.
+    for (from, to) in [("\"guardS\":5", "\"guardS\":600"), ("\"targetS\":0.8", "\"targetS\":64.9"), ("\"share\":10", "\"share\":0")] {
+        assert!(Configuration::read(CONFIGURATION.replace(from, to).as_bytes()).is_ok(), "{to}");
+    }
+}
+
+#[test]
+fn a_configuration_cut_anywhere_or_in_a_wrong_encoding_is_unreadable() {
+    for end in 0..CONFIGURATION.len() {
+        let read = Configuration::read(&CONFIGURATION.as_bytes()[..end]);
+        assert!(matches!(read, Err(Kind::Unreadable(_))), "cut at {end}");
+    }
+    let wide: Vec<u8> = CONFIGURATION.encode_utf16().flat_map(u16::to_le_bytes).collect();
+    assert!(matches!(Configuration::read(&wide), Err(Kind::Unreadable(_))));
+    let latin = CONFIGURATION.replace("h.example", "h\u{e9}").into_bytes().iter().map(|byte| if *byte == 0xc3 { 0xe9 } else { *byte }).collect::<Vec<_>>();
+    assert!(matches!(Configuration::read(&latin), Err(Kind::Unreadable(_))));
+}
+
+/// The one table: only answers that promise it say that nothing ran, and only those that may be tried again say when.
+#[test]
+fn answers_that_promise_are_those_of_the_protocol() {
+    let kinds = [Kind::NotReady, Kind::Full, Kind::NoMarshal, Kind::TurnedAway, Kind::Expired, Kind::Broken, Kind::Silent];
+    for kind in kinds {
+        let answer = kind.answer();
+        assert_eq!(answer.promise, matches!(answer.status, 429 | 503 | 408 | 421), "{kind}");
+        assert!(!answer.again || answer.status == 503, "{kind}");
+    }
+}
+
+#[test]
+fn the_catalogue_in_the_docs_is_the_list_in_the_code() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/events.md");
+    let page = std::fs::read_to_string(path).unwrap();
+    let told: Vec<String> = page.lines().filter(|line| line.starts_with("| M")).map(str::to_owned).collect();
+    let known: Vec<String> = Event::ALL
+        .iter()
+        .map(|(number, name, level, what)| format!("| {number} | {name} | {} | {what} |", level.as_str().to_lowercase()))
+        .collect();
+    assert_eq!(told, known);
+}
--- a/crates/verity/src/tally.rs
+++ b/crates/verity/src/tally.rs
@@ -56,11 +56,13 @@
         let mut sums = [[Sums::default(); 2]; CLASSES];
         let mut counts = [0.0; CLASSES];
         for (_, report) in self.reports.values() {
-            for class in 0..CLASSES {
-                for arm in 0..2 {
-                    sums[class][arm] = sums[class][arm].plus(&report.sums[class][arm]);
+            for (all, told) in sums.iter_mut().zip(&report.sums) {
+                for (arm, more) in all.iter_mut().zip(told) {
+                    *arm = arm.plus(more);
                 }
-                counts[class] += report.counts[class];
+            }
+            for (all, told) in counts.iter_mut().zip(&report.counts) {
+                *all += told;
             }
         }
         (sums, counts)
