--- /dev/null
+++ b/crates/course/tests/decisions.rs
@@ -0,0 +1,282 @@
+//! What edges decide, judged after the fact over many edges and drawn days.
+
+use milletwing_course::marshal::Load;
+use milletwing_course::{Course, Place, Result as Ended, Ticket, Time};
+use milletwing_ledger::{Command, Node, Phase, View};
+use milletwing_tenet::settings::Guarantees;
+use milletwing_tenet::Kind;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+
+const ZONES: [(&str, &str); 4] = [("a", "north"), ("b", "north"), ("c", "south"), ("d", "south")];
+
+fn body(revision: u64) -> Vec<u8> {
+    format!(
+        r#"{{"revision":{revision},"routing":{{
+        "look":{{"domain":"h.example","pathPrefix":"/look/","trafficClass":"idempotent","guardS":5,"targetS":0.3,"target":"s","maxTries":2}},
+        "deep":{{"domain":"h.example","pathPrefix":"/look/deep/","trafficClass":"idempotent","guardS":5,"targetS":0.3,"target":"t","maxTries":2}},
+        "order":{{"domain":"h.example","pathPrefix":"/order/","trafficClass":"non_idempotent","guardS":5,"targetS":0.3,"target":"s","maxTries":3,
+          "servingRegions":["north"]}}}},
+        "targets":{{"s":{{"maxSessions":110,"warmupS":3,"warmupPerS":26}},"t":{{"maxSessions":110}}}},"thresholds":{{}}}}"#
+    )
+    .into_bytes()
+}
+
+fn node(at: usize, revision: &str, phase: Phase) -> Node {
+    Node {
+        id: format!("i-{revision}-{at}"),
+        target: "s".into(),
+        address: format!("10.0.{}.{at}:80", revision.len()).parse().unwrap(),
+        zone: ZONES[at % 4].0.into(),
+        revision: revision.into(),
+        capacity: 6,
+        phase,
+    }
+}
+
+fn view(nodes: usize) -> View {
+    let mut view = View::default();
+    let command = view.to_configure(1, &body(1)).unwrap();
+    view.apply(1, &command);
+    for at in 0..nodes {
+        view.apply(2 + at as u64, &Command::NodeUp(node(at, "v1", Phase::Warm)));
+    }
+    view
+}
+
+fn edge(id: u32, view: &View, count: u32, now: Time) -> Course {
+    let (zone, region) = ZONES[id as usize % 4];
+    let zones = ZONES.iter().map(|(zone, region)| (zone.to_string(), region.to_string())).collect();
+    let place = Place { id, zone: zone.into(), region: region.into(), zones };
+    let mut course = Course::new(place, Guarantees::default(), u64::from(id));
+    course.refresh(now, view);
+    course.heard(now);
+    course.edges(count);
+    course
+}
+
+fn arrive(course: &mut Course, now: Time, path: &str) -> Ticket {
+    course.arrive(now, "h.example", path, Some(2_000)).unwrap()
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    let mut course = edge(1, &view(4), 1, 1);
+    assert_eq!(arrive(&mut course, 1, "/look/x").route.name, "look");
+    assert_eq!(arrive(&mut course, 1, "/look/deep/x").route.name, "deep");
+    assert_eq!(course.arrive(1, "H.example:80", "/look/x", None).unwrap().route.name, "look");
+    for (host, path) in [("h.example", "/other/"), ("h.example", "/look"), ("g.example", "/look/x")] {
+        assert_eq!(course.arrive(1, host, path, None).unwrap_err(), Kind::NoRoute, "{host}{path}");
+    }
+    let mut fresh = Course::new(
+        Place { id: 1, zone: "a".into(), region: "north".into(), zones: BTreeMap::new() },
+        Guarantees::default(),
+        1,
+    );
+    assert_eq!(
+        fresh.arrive(1, "h.example", "/other/", None).unwrap_err(),
+        Kind::NotReady,
+        "404 only by a configuration"
+    );
+}
+
+/// Whatever comes of its sendings, what may not run twice is sent on only after a proof that it has not run, and never
+/// beyond its tries, its regions, or its time.
+#[test]
+fn what_may_not_run_twice_goes_on_only_after_a_proof() {
+    let ends = [
+        Ended::Served,
+        Ended::Failed,
+        Ended::TurnedAway,
+        Ended::Moved,
+        Ended::Unreached,
+        Ended::Unsent,
+        Ended::Broken,
+        Ended::Silent,
+        Ended::Dropped,
+    ];
+    for seed in 0..3_000 {
+        let mut chance = Pcg64Mcg::seed_from_u64(seed);
+        let mut course = edge(seed as u32 % 7, &view(12), 1, 1);
+        (0..200).for_each(|_| drop(arrive(&mut course, 1, "/look/x")));
+        let path = if seed % 2 == 0 { "/order/x" } else { "/look/x" };
+        let (mut now, mut ticket) = (2, arrive(&mut course, 2, path));
+        let (mut may_have_run, mut arrivals, mut seen) = (0, 0, BTreeSet::new());
+        while let Ok(sending) = course.pick(now, &mut ticket) {
+            assert!(seen.insert(sending.id.clone()) || ticket.route.class.repeatable() || may_have_run == 0);
+            let at: usize = sending.id.rsplit('-').next().unwrap().parse().unwrap();
+            assert!(path != "/order/x" || at % 4 < 2, "{} is outside the route's regions", sending.id);
+            let end = ends[chance.random_range(0..ends.len())];
+            now += chance.random_range(1..100);
+            arrivals += u32::from(!matches!(end, Ended::Unreached | Ended::Unsent));
+            may_have_run += u32::from(matches!(
+                end,
+                Ended::Served | Ended::Failed | Ended::Broken | Ended::Silent | Ended::Dropped
+            ));
+            course.ended(now, &mut ticket, &sending, end, None);
+            if !course.again(now, &ticket, end) {
+                break;
+            }
+            assert!(path != "/order/x" || may_have_run == 0, "sent again after {end:?}");
+        }
+        assert!(arrivals <= ticket.route.tries);
+        assert!(now < 1_000);
+    }
+}
+
+/// Drains, evacuated zones and other versions get nothing from the moment that they are folded.
+#[test]
+fn what_is_closed_gets_nothing() {
+    let mut view = view(12);
+    view.apply(100, &Command::NodeDrains { id: "i-v1-0".into() });
+    view.apply(101, &Command::Evacuate { zone: "b".into(), on: true, deals: Vec::new() });
+    view.apply(102, &Command::NodeUp(node(3, "v2", Phase::Warm)));
+    view.apply(103, &Command::NodeCold { id: "i-v1-2".into(), deal: Vec::new() });
+    for id in 0..8 {
+        let mut course = edge(id, &view, 8, 1);
+        for now in 1..2_000 {
+            let mut ticket = arrive(&mut course, now, if now % 3 == 0 { "/order/x" } else { "/look/x" });
+            let Ok(sending) = course.pick(now, &mut ticket) else { continue };
+            let closed = ["i-v1-0", "i-v1-1", "i-v1-5", "i-v1-9", "i-v2-3", "i-v1-2"];
+            assert!(!closed.contains(&sending.id.as_ref()), "{} got a request", sending.id);
+            course.ended(now, &mut ticket, &sending, Ended::Served, Some(Load { running: 1, waiting: 0 }));
+        }
+    }
+}
+
+/// Over all edges, in any second, whoever of them is cut off from the core.
+#[test]
+fn a_cold_marshal_gets_what_was_dealt_in_any_second() {
+    let mut view = view(0); // all press on the one that is cold
+    let deal: Vec<(u32, u32)> = (0..3).map(|id| (id, if id < 2 { 9 } else { 8 })).collect();
+    view.apply(100, &Command::NodeUp(Node { phase: Phase::Cold(deal), ..node(4, "v1", Phase::Warm) }));
+    let mut edges: Vec<Course> = (0..9).map(|id| edge(id, &view, 9, 1)).collect();
+    let mut sent: Vec<Time> = Vec::new();
+    for now in 1..8_000 {
+        for course in &mut edges {
+            let mut ticket = arrive(course, now, "/look/x");
+            let Ok(sending) = course.pick(now, &mut ticket) else { continue };
+            if sending.id.as_ref() == "i-v1-4" {
+                sent.push(now);
+            }
+            course.ended(now, &mut ticket, &sending, Ended::Served, None);
+        }
+    }
+    let most =
+        sent.iter().map(|from| sent.iter().filter(|at| (*from..from + 1_000).contains(*at)).count()).max();
+    assert_eq!(most, Some(26), "all of what was dealt is used, and no more");
+}
+
+/// Further tries over all edges, in any window, when every answer is a failure and clients come again at once.
+#[test]
+fn further_tries_stay_within_what_all_edges_share() {
+    let bounds = Guarantees::default();
+    for count in [1u32, 8, 40] {
+        let view = view(16);
+        let mut edges: Vec<Course> = (0..count).map(|id| edge(id, &view, count, 1)).collect();
+        let mut chance = Pcg64Mcg::seed_from_u64(u64::from(count));
+        let (mut firsts, mut more): (Vec<Time>, Vec<Time>) = (Vec::new(), Vec::new());
+        for now in (1..30_000).step_by(10) {
+            // A quiet time, a press, a quiet time: what was earned in the press doesn't last.
+            let rate = if (10_000..15_000).contains(&now) { 1.0 } else { 0.1 };
+            for course in &mut edges {
+                if !chance.random_bool(rate) {
+                    continue;
+                }
+                firsts.push(now);
+                let mut ticket = arrive(course, now, "/look/x");
+                let mut sendings = 0;
+                while let Ok(sending) = course.pick(now, &mut ticket) {
+                    sendings += 1;
+                    course.ended(now, &mut ticket, &sending, Ended::Broken, None);
+                    if !course.again(now, &ticket, Ended::Broken) {
+                        break;
+                    }
+                }
+                more.extend((1..sendings).map(|_| now));
+            }
+        }
+        let window = (bounds.retryWindowS * 1000.0) as Time;
+        let within = |list: &[Time], from: Time| {
+            list.partition_point(|at| *at < from + window) - list.partition_point(|at| *at < from)
+        };
+        for from in (0..20_000).step_by(50) {
+            let (tries, requests) = (within(&more, from), within(&firsts, from));
+            assert!(
+                tries as f64 <= bounds.retryBudgetRatio * requests as f64 + bounds.retrySlack,
+                "{count} edges: {tries} further tries for {requests} requests from {from}"
+            );
+        }
+        assert!(!more.is_empty(), "{count} edges never tried again");
+    }
+}
+
+/// One that can't be reached is found out by one request at a time, and none that may not run twice.
+#[test]
+fn an_unreachable_marshal_is_tried_by_what_may_run_twice() {
+    let mut course = edge(1, &view(1), 1, 1);
+    let (mut probes, mut first) = (Vec::new(), true);
+    for now in 1..20_000 {
+        let order = now % 2 == 0;
+        let mut ticket = arrive(&mut course, now, if order { "/order/x" } else { "/look/x" });
+        match course.pick(now, &mut ticket) {
+            Ok(sending) => {
+                assert!(first || !order, "an order went to one that could not be reached");
+                // While one is out to find out, there is no other.
+                let mut second = arrive(&mut course, now, "/look/x");
+                assert!(first || course.pick(now, &mut second).is_err(), "two at once");
+                course.ended(now, &mut ticket, &sending, Ended::Unreached, None);
+                probes.push(now);
+                first = false;
+            }
+            Err(kind) => assert_eq!(kind, Kind::NoMarshal),
+        }
+    }
+    let pauses: Vec<Time> = probes.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(pauses.iter().all(|pause| (400..=3_300).contains(pause)) && pauses.len() < 12, "{pauses:?}");
+}
+
+/// The coin keeps to the cap, takes safe classes at first, sends nothing more on the word of a core that is silent, and
+/// tries again at the version that is known.
+#[test]
+fn a_version_on_trial_gets_its_cap_of_safe_requests() {
+    let mut view = view(12);
+    view.apply(100, &Command::RollOut { service: "s".into(), revision: "v22".into(), period_ms: 15_000 });
+    for at in 0..12 {
+        view.apply(101 + at as u64, &Command::NodeUp(node(at, "v22", Phase::Warm)));
+    }
+    let mut edges: Vec<Course> = (0..9).map(|id| edge(id, &view, 9, 1)).collect();
+    let (mut all, mut new, mut late) = (0.0, 0.0, 0);
+    for now in 1..12_000 {
+        for (at, course) in edges.iter_mut().enumerate() {
+            if now % 10 != at as u64 {
+                continue;
+            }
+            if now < 8_000 {
+                course.heard(now);
+            }
+            let order = now % 20 < 10;
+            let mut ticket = arrive(course, now, if order { "/order/x" } else { "/look/x" });
+            all += 1.0;
+            let Ok(sending) = course.pick(now, &mut ticket) else { panic!("the earlier version serves") };
+            let fresh = sending.id.starts_with("i-v22");
+            assert!(!(fresh && order), "an order went to a version at its first stage");
+            new += f64::from(u8::from(fresh));
+            late += u32::from(fresh && now >= 10_001);
+            if fresh && now % 3 == 0 {
+                course.ended(now, &mut ticket, &sending, Ended::Broken, None);
+                if let Ok(second) = course.pick(now, &mut ticket) {
+                    assert!(second.id.starts_with("i-v1"), "a further try went to the version on trial");
+                }
+            } else {
+                course.ended(now, &mut ticket, &sending, Ended::Served, None);
+            }
+        }
+    }
+    let bounds = Guarantees::default();
+    assert!(new > 50.0 && new <= bounds.exposureShare * all + bounds.exposureSlack, "{new} of {all}");
+    assert_eq!(late, 0, "exposed on the word of a core that was silent for two seconds");
+    let report = &edges[0].reports(12_000)[0];
+    assert!(report.sums[0][1].n > 0.0 && report.sums[1][1].n == 0.0);
+}
--- a/crates/ledger/tests/histories.rs
+++ b/crates/ledger/tests/histories.rs
@@ -61,10 +61,15 @@
 #[test]
 fn of_two_configurations_on_one_version_one_wins_and_the_same_again_is_taken() {
     let mut view = configured(4);
-    let (first, second) = (view.to_configure(7, &body(7, 2)).unwrap(), view.to_configure(9, &body(9, 3)).unwrap());
+    let (first, second) =
+        (view.to_configure(7, &body(7, 2)).unwrap(), view.to_configure(9, &body(9, 3)).unwrap());
     assert_eq!(view.apply(2, &first), Outcome::Done);
     assert_eq!(view.apply(3, &second), Outcome::Refused(Kind::Stale(7)));
-    assert_eq!(view.apply(4, &first), Outcome::Done, "a call that got no clear answer goes out again unchanged");
+    assert_eq!(
+        view.apply(4, &first),
+        Outcome::Done,
+        "a call that got no clear answer goes out again unchanged"
+    );
     assert_eq!((view.revision, view.body.as_slice()), (7, body(7, 2).as_slice()));
     let old = view.to_configure(6, &body(6, 1)).unwrap();
     assert_eq!(view.apply(5, &old), Outcome::Refused(Kind::OldRevision(6, 7)));
@@ -82,7 +87,12 @@
     view.apply(2, &large);
     let mut more = body(3, 1501);
     let next = view.to_configure(3, &more).unwrap();
-    assert!(next.bytes().len() * 50 < more.len(), "{} bytes for one route more of {}", next.bytes().len(), more.len());
+    assert!(
+        next.bytes().len() * 50 < more.len(),
+        "{} bytes for one route more of {}",
+        next.bytes().len(),
+        more.len()
+    );
     assert_eq!(view.apply(3, &next), Outcome::Done);
     assert_eq!(view.body.as_slice(), more);
     // A bit turned on the way is not another configuration.
@@ -124,7 +134,12 @@
     // Of a service that no configuration names yet: it is kept, and gets nothing as long as no route leads there.
     take(&mut view, &mut registry, 20, "i-2", &beat("unheard", "10.0.0.9:80", "available", 0.0, 1));
     assert_eq!(view.nodes.keys().collect::<Vec<_>>(), ["i-2"]);
-    for wrong in [r#"{"target":"s"}"#, "", "{", r#"{"target":"s","address":"x","zone":"a","revision":"v","capacity":1,"state":"available"}"#] {
+    for wrong in [
+        r#"{"target":"s"}"#,
+        "",
+        "{",
+        r#"{"target":"s","address":"x","zone":"a","revision":"v","capacity":1,"state":"available"}"#,
+    ] {
         assert!(matches!(Beat::read(wrong.as_bytes()), Err(Kind::BadBeat(_))), "{wrong}");
     }
 }
@@ -184,7 +199,10 @@
     for command in &gone {
         view.apply(view.index + 1, command);
     }
-    assert!(take(&mut view, &mut registry, 8_000, "i-9", &beat("s", "10.0.0.9:80", "available", 0.0, 2)), "it was only cut off");
+    assert!(
+        take(&mut view, &mut registry, 8_000, "i-9", &beat("s", "10.0.0.9:80", "available", 0.0, 2)),
+        "it was only cut off"
+    );
 }
 
 #[test]
@@ -200,7 +218,12 @@
         phase: Phase::Warm,
     };
     view.apply(2, &Command::NodeUp(node.clone()));
-    let new = Node { id: "i-2".into(), address: "10.0.0.8:80".parse().unwrap(), revision: "v2".into(), ..node.clone() };
+    let new = Node {
+        id: "i-2".into(),
+        address: "10.0.0.8:80".parse().unwrap(),
+        revision: "v2".into(),
+        ..node.clone()
+    };
     view.apply(3, &Command::NodeUp(new.clone()));
     assert!(!view.in_service(&new) && view.trial(&new).is_none(), "nobody ordered it");
     let order = Command::RollOut { service: "s".into(), revision: "v2".into(), period_ms: 12_000 };
--- a/crates/tenet/tests/reading.rs
+++ b/crates/tenet/tests/reading.rs
@@ -54,9 +54,13 @@
         }
     }
     let refused = |from: &str, to: &str| Settings::read(&SETTINGS.replace(from, to)).unwrap_err();
-    expect!["network.internalPorts: 7555 to 7540 is no span of ports"].assert_eq(&refused("[7540, 7555]", "[7555, 7540]"));
+    expect!["network.internalPorts: 7555 to 7540 is no span of ports"]
+        .assert_eq(&refused("[7540, 7555]", "[7555, 7540]"));
     assert!(refused("ipAddress = \"10.1.0.34\"", "").contains("ipAddress"));
-    assert!(refused("10.1.0.36:8544", "somewhere").contains("somewhere") || refused("10.1.0.36:8544", "x").contains("seedList"));
+    assert!(
+        refused("10.1.0.36:8544", "somewhere").contains("somewhere")
+            || refused("10.1.0.36:8544", "x").contains("seedList")
+    );
     expect!["network.bindings.readiness is missing"].assert_eq(&whole.binding("readiness").unwrap_err());
 }
 
@@ -77,7 +81,11 @@
     assert_eq!(refused("\"idempotent\"", "\"idem\""), Kind::OddClass("r".into(), "idem".into()));
     assert!(matches!(refused("\"revision\":7", "\"revision\":\"7\""), Kind::Unreadable(_)));
     // What is just within is valid.
-    for (from, to) in [("\"guardS\":5", "\"guardS\":600"), ("\"targetS\":0.8", "\"targetS\":64.9"), ("\"share\":10", "\"share\":0")] {
+    for (from, to) in [
+        ("\"guardS\":5", "\"guardS\":600"),
+        ("\"targetS\":0.8", "\"targetS\":64.9"),
+        ("\"share\":10", "\"share\":0"),
+    ] {
         assert!(Configuration::read(CONFIGURATION.replace(from, to).as_bytes()).is_ok(), "{to}");
     }
 }
@@ -90,14 +98,27 @@
     }
     let wide: Vec<u8> = CONFIGURATION.encode_utf16().flat_map(u16::to_le_bytes).collect();
     assert!(matches!(Configuration::read(&wide), Err(Kind::Unreadable(_))));
-    let latin = CONFIGURATION.replace("h.example", "h\u{e9}").into_bytes().iter().map(|byte| if *byte == 0xc3 { 0xe9 } else { *byte }).collect::<Vec<_>>();
+    let latin = CONFIGURATION
+        .replace("h.example", "h\u{e9}")
+        .into_bytes()
+        .iter()
+        .map(|byte| if *byte == 0xc3 { 0xe9 } else { *byte })
+        .collect::<Vec<_>>();
     assert!(matches!(Configuration::read(&latin), Err(Kind::Unreadable(_))));
 }
 
 /// The one table: only answers that promise it say that nothing ran, and only those that may be tried again say when.
 #[test]
 fn answers_that_promise_are_those_of_the_protocol() {
-    let kinds = [Kind::NotReady, Kind::Full, Kind::NoMarshal, Kind::TurnedAway, Kind::Expired, Kind::Broken, Kind::Silent];
+    let kinds = [
+        Kind::NotReady,
+        Kind::Full,
+        Kind::NoMarshal,
+        Kind::TurnedAway,
+        Kind::Expired,
+        Kind::Broken,
+        Kind::Silent,
+    ];
     for kind in kinds {
         let answer = kind.answer();
         assert_eq!(answer.promise, matches!(answer.status, 429 | 503 | 408 | 421), "{kind}");
@@ -112,7 +133,9 @@
     let told: Vec<String> = page.lines().filter(|line| line.starts_with("| M")).map(str::to_owned).collect();
     let known: Vec<String> = Event::ALL
         .iter()
-        .map(|(number, name, level, what)| format!("| {number} | {name} | {} | {what} |", level.as_str().to_lowercase()))
+        .map(|(number, name, level, what)| {
+            format!("| {number} | {name} | {} | {what} |", level.as_str().to_lowercase())
+        })
         .collect();
     assert_eq!(told, known);
 }
