The real programs are tried on loopback: whole path, bad input, lost leader and disk, leaving

Change: crates/helm/tests/whole.rs starts three stewards and an edge among stand-ins of marshals and waits for numbered events only: what is no request never reaches a marshal, what is no whole answer never looks like one, orders run once, a killed leader, a lost disk and a damaged file are borne, SIGTERM serves what still comes. An edge tells the revision that it has taken (M130).

--- a/crates/accord/tests/world.rs
+++ b/crates/accord/tests/world.rs
@@ -172,7 +172,7 @@
         let (now, slow) = (self.now, self.chance.random_range(0..30));
         let machine = self.machines.get_mut(&id).unwrap();
         let Some(member) = machine.member.as_mut() else { return };
-        if now % 25 == 0 {
+        if now.is_multiple_of(25) {
             member.tick(now);
         }
         let mut out = Vec::new();
@@ -239,7 +239,7 @@
                 continue;
             };
             self.next += 1;
-            if self.next % 3 == 0 {
+            if self.next.is_multiple_of(3) {
                 if member.read(now, self.next) {
                     self.reads.insert((*id, self.next), acked);
                 }
@@ -306,7 +306,7 @@
             if world.chance.random_bool(0.01) {
                 world.trouble();
             }
-            if world.now % 100 == 0 {
+            if world.now.is_multiple_of(100) {
                 world.join();
             }
         }
@@ -321,14 +321,14 @@
                 .values()
                 .filter_map(|it| it.member.as_ref())
                 .any(|it| it.role() == Role::Leader);
-            if led && world.now % 500 == 0 {
+            if led && world.now.is_multiple_of(500) {
                 world.call();
             }
             let done = |machine: &Machine| {
                 machine.member.as_ref().is_some_and(|member| !member.lost())
                     && world.acked.iter().all(|(index, value)| machine.state.contains(&(*index, *value)))
             };
-            healed = world.now % 1_000 == 0 && led && world.machines.values().all(done);
+            healed = world.now.is_multiple_of(1_000) && led && world.machines.values().all(done);
         }
         for (id, machine) in &world.machines {
             let member = machine.member.as_ref();
@@ -370,7 +370,7 @@
 fn judge(seeds: impl Iterator<Item = u64>) {
     let (mut acked, mut reads) = (0, 0);
     for seed in seeds {
-        let count = if seed % 3 == 0 { 5 } else { 3 };
+        let count = if seed.is_multiple_of(3) { 5 } else { 3 };
         let result = std::panic::catch_unwind(|| World::play(seed, count));
         match result {
             Ok((entries, answered)) => (acked, reads) = (acked + entries, reads + answered),
--- a/crates/carrier/src/edge.rs
+++ b/crates/carrier/src/edge.rs
@@ -3,7 +3,7 @@
 use crate::pool::Pool;
 use milletwing_course::{Course, Place, Time};
 use milletwing_ledger::{Heard, View};
-use milletwing_tenet::Settings;
+use milletwing_tenet::{tell, Settings};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::time::Instant;
@@ -25,6 +25,7 @@
     pub close: Notify,
     /// What it says of itself has changed.
     pub changed: Notify,
+    revision: Cell<u64>,
     ingress: SocketAddrV4,
     life: u64,
     began: Instant,
@@ -51,6 +52,7 @@
             leaving: Cell::new(false),
             close: Notify::new(),
             changed: Notify::new(),
+            revision: Cell::new(0),
             ingress,
             life: rand::random(),
             began: Instant::now(),
@@ -89,6 +91,10 @@
     /// The view has changed.
     pub fn refresh(&self) {
         let was = self.ready();
+        let revision = self.view.borrow().revision;
+        if self.revision.replace(revision) != revision {
+            tell!(Configured, "revision {revision}");
+        }
         self.course.borrow_mut().refresh(self.now(), &self.view.borrow());
         self.pool.forget(|marshal| self.course.borrow().knows(marshal));
         if self.ready() != was {
--- /dev/null
+++ b/crates/helm/tests/whole.rs
@@ -0,0 +1,446 @@
+//! The real programs on loopback: three machines of the core, edges, stand-ins of marshals, an operator. What is waited
+//! for is a numbered event or an answer; nothing sleeps.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(60);
+static NETS: AtomicU32 = AtomicU32::new(0);
+
+struct Process {
+    child: Child,
+    lines: Receiver<String>,
+}
+
+impl Process {
+    /// Reads the log up to the first line with these words.
+    fn until(&self, words: &str) -> String {
+        loop {
+            let line = self.lines.recv_timeout(PATIENCE).unwrap_or_else(|_| panic!("no {words}"));
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        let killed = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+        assert!(killed.unwrap().success());
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A system of its own: a loopback net, a folder, three seeds.
+struct Place {
+    net: u32,
+    folder: PathBuf,
+}
+
+impl Place {
+    fn new(name: &str) -> Place {
+        let at = NETS.fetch_add(1, Ordering::SeqCst);
+        let net = 0x7f00_0000 + (std::process::id() % 199 + 1) * 0x1_0000 + (at + 1) * 0x100;
+        let folder = std::env::temp_dir().join(format!("helm-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        Place { net, folder }
+    }
+
+    fn ip(&self, host: u32) -> Ipv4Addr {
+        Ipv4Addr::from_bits(self.net + host)
+    }
+
+    fn at(&self, host: u32, port: u16) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip(host), port)
+    }
+
+    fn start(&self, role: &str, host: u32, first: bool) -> Process {
+        let seeds: Vec<String> = (1..=3).map(|host| format!("\"{}\"", self.at(host, 8544))).collect();
+        let disk = self.folder.join(format!("disk{host}"));
+        let text = format!(
+            "[self]\nnodeName = \"{role}-{host}\"\nipAddress = \"{}\"\nzone = \"a\"\nregion = \"north\"\ninitialAttach = {first}\n\
+             stateDir = \"{}\"\n[self.thresholds]\nmaxFiles = 400\n[network]\ninternalPorts = [7540, 7555]\nseedList = [{}]\n\
+             [network.bindings]\ncontrolPlane = \"{}\"\ndirectoryPort = \"{}\"\ningress = \"{}\"\nreadiness = \"{}\"\n\
+             [network.zones]\na = \"north\"\n[timers.guarantees]\ngraceS = 4\n",
+            self.ip(host),
+            disk.display(),
+            seeds.join(", "),
+            self.at(host, 8544),
+            self.at(host, 8546),
+            self.at(host, 8548),
+            self.at(host, 8542),
+        );
+        let path = self.folder.join(format!("{role}{host}.toml"));
+        std::fs::write(&path, text).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_helm"))
+            .arg(role)
+            .env("MILLETWING_BOOT", &path)
+            .env("MILLETWING_LOG", "debug")
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let out = BufReader::new(child.stdout.take().unwrap());
+        let (send, lines) = channel();
+        std::thread::spawn(move || out.lines().map_while(Result::ok).try_for_each(|line| send.send(line)));
+        Process { child, lines }
+    }
+
+    fn core(&self) -> Vec<Process> {
+        let core: Vec<Process> = (1..=3).map(|host| self.start("steward", host, true)).collect();
+        core.iter().for_each(|process| drop(process.until("M100")));
+        core
+    }
+
+    /// A call to the core, again and again until it is clear, as the protocol has it.
+    fn order(&self, hosts: &[u32], method: &str, path: &str, extra: &str, body: &str) -> (u16, String) {
+        for _ in 0..200 {
+            for host in hosts {
+                let text = format!(
+                    "{method} {path} HTTP/1.1\r\nHost: core\r\nConnection: close\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+                    body.len()
+                );
+                if let Some(answer) =
+                    raw(self.at(*host, 8544), text.as_bytes()).filter(|(status, ..)| *status < 500)
+                {
+                    return (answer.0, answer.2);
+                }
+            }
+        }
+        panic!("no clear answer to {method} {path}");
+    }
+
+    fn configure(&self, hosts: &[u32], on: u64, revision: u64) -> u16 {
+        let extra = format!("If-Match: {on}\r\nContent-Type: application/json\r\n");
+        self.order(hosts, "PUT", "/milletwing/configuration", &extra, &body(revision)).0
+    }
+
+    fn beat(&self, hosts: &[u32], id: &str, address: SocketAddrV4) -> u16 {
+        let body = format!(
+            r#"{{"target":"s","address":"{address}","zone":"a","revision":"v1","capacity":4,"state":"available","warmupLeftS":0,"callCounter":1}}"#
+        );
+        self.order(hosts, "PUT", &format!("/milletwing/nodes/{id}"), "", &body).0
+    }
+
+    fn helm(&self, arguments: &[&str]) -> (bool, String) {
+        let out = Command::new(env!("CARGO_BIN_EXE_helm")).args(arguments).output().unwrap();
+        let text = [out.stdout, out.stderr].concat();
+        (out.status.success(), String::from_utf8_lossy(&text).into_owned())
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn body(revision: u64) -> String {
+    format!(
+        r#"{{"revision":{revision},"routing":{{"look":{{"domain":"h.example","pathPrefix":"/look/","trafficClass":"idempotent",
+        "guardS":5,"targetS":1,"target":"s","maxTries":2}},"order":{{"domain":"h.example","pathPrefix":"/order/",
+        "trafficClass":"non_idempotent","guardS":5,"targetS":1,"target":"s","maxTries":2}}}},
+        "targets":{{"s":{{"maxSessions":60}}}},"thresholds":{{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerGuardS":1,"idleGuardS":1}}}}"#
+    )
+}
+
+/// Sends bytes and reads to the end of the connection, or of an answer that says its length. Gives status, head, body.
+fn raw(to: SocketAddrV4, bytes: &[u8]) -> Option<(u16, String, String)> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    stream.write_all(bytes).ok()?;
+    answer(&mut BufReader::new(stream))
+}
+
+fn answer(stream: &mut impl BufRead) -> Option<(u16, String, String)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if stream.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let length = head
+        .lines()
+        .find_map(|line| line.to_ascii_lowercase().strip_prefix("content-length: ")?.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body).ok()?;
+    Some((status, head, String::from_utf8_lossy(&body).into_owned()))
+}
+
+fn request(method: &str, path: &str, id: &str, extra: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Milletwing-Attempt-Id: {id}\r\nX-Milletwing-Remaining-Ms: 4000\r\n{extra}\r\n{body}"
+    )
+}
+
+type Runs = Arc<Mutex<BTreeMap<String, u32>>>;
+
+/// A marshal's stand-in: counts what it runs by id, and answers as the path's last part says.
+fn marshal(at: SocketAddrV4, node: &'static str) -> (SocketAddrV4, Runs) {
+    let listener = TcpListener::bind(at).unwrap();
+    let at: SocketAddrV4 = listener.local_addr().unwrap().to_string().parse().unwrap();
+    let runs = Runs::default();
+    let counted = Arc::clone(&runs);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let counted = Arc::clone(&counted);
+            std::thread::spawn(move || serve(stream, node, &counted));
+        }
+    });
+    (at, runs)
+}
+
+fn serve(stream: TcpStream, node: &str, runs: &Runs) -> Option<()> {
+    let mut read = BufReader::new(stream.try_clone().ok()?);
+    let mut write = stream;
+    loop {
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            if read.read_line(&mut head).ok()? == 0 {
+                return None;
+            }
+        }
+        let field = |name: &str| {
+            head.lines().find_map(|line| {
+                let (key, value) = line.split_once(": ")?;
+                key.eq_ignore_ascii_case(name).then(|| value.to_owned())
+            })
+        };
+        let mut body = vec![0; field("content-length").and_then(|it| it.parse().ok()).unwrap_or(0)];
+        read.read_exact(&mut body).ok()?;
+        let id = field("x-milletwing-attempt-id").unwrap_or_default();
+        if field("x-milletwing-target-node").as_deref() != Some(node) {
+            write.write_all(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n").ok()?;
+            continue;
+        }
+        let path = head.split(' ').nth(1).unwrap_or("").to_owned();
+        if path.ends_with("/full") {
+            write
+                .write_all(b"HTTP/1.1 503 Busy\r\nX-Milletwing-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+                .ok()?;
+            continue;
+        }
+        *runs.lock().unwrap().entry(id.clone()).or_default() += 1;
+        let said =
+            format!("{path} {} {}", head.split(' ').next().unwrap_or(""), String::from_utf8_lossy(&body));
+        let whole = |id: &str, extra: &str| {
+            format!(
+                "HTTP/1.1 200 OK\r\nX-Milletwing-Attempt-Id: {id}\r\nX-Milletwing-Server-Seal: seal\r\n{extra}Content-Length: {}\r\n\r\n{said}",
+                said.len()
+            )
+        };
+        let text = match path.rsplit('/').next().unwrap_or("") {
+            "other" => whole("somebody-else", ""),
+            "packed" => whole(&id, "Content-Encoding: gzip\r\n"),
+            "unsealed" => whole(&id, "").replace("X-Milletwing-Server-Seal: seal\r\n", ""),
+            "short" => whole(&id, "").replace("Content-Length: ", "Content-Length: 9"),
+            "garbage" => "\u{1}\u{2} no answer\r\n\r\n".into(),
+            "extra" => whole(&id, "") + &whole(&id, ""),
+            _ => whole(&id, ""),
+        };
+        write.write_all(text.as_bytes()).ok()?;
+        if ["short", "garbage"].iter().any(|end| path.ends_with(end)) {
+            return None;
+        }
+    }
+}
+
+#[test]
+fn requests_pass_and_what_is_none_is_told() {
+    let place = Place::new("pass");
+    let _core = place.core();
+    assert_eq!(place.configure(&[1, 2, 3], 0, 3), 200);
+    let (first, runs) = marshal(place.at(100, 0), "i-1");
+    assert_eq!(place.beat(&[2], "i-1", first), 200);
+    let edge = place.start("carrier", 20, true);
+    edge.until("M130");
+    let to = place.at(20, 8548);
+    let ask = |text: &str| raw(to, text.as_bytes());
+    let (status, head, said) = ask(&request("GET", "/look/a?b=%20c", "id-1", "", "")).unwrap();
+    assert_eq!((status, said.as_str()), (200, "/look/a?b=%20c GET "));
+    assert!(head.to_ascii_lowercase().contains("x-milletwing-server-seal: seal"), "{head}");
+    let chunked = "Transfer-Encoding: chunked\r\n";
+    let (status, _, said) =
+        ask(&request("POST", "/order/a", "id-2", chunked, "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")).unwrap();
+    assert_eq!((status, said.as_str()), (200, "/order/a POST abcde"));
+
+    // What is no request, or goes nowhere, never reaches a marshal.
+    let both = request(
+        "POST",
+        "/order/b",
+        "id-3",
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "0\r\n\r\nGET /look/smuggled HTTP/1.1\r\n\r\n",
+    );
+    let large = format!("X-Large: {}\r\n", "x".repeat(5_000));
+    for (text, wanted) in [
+        (request("GET", "/nowhere/", "id-4", "", ""), 404),
+        (both, 400),
+        (request("GET", "/look/a", "id-5", &large, ""), 431),
+        (request("POST", "/order/a", "id-6", "Content-Length: 100001\r\n", ""), 413),
+        (request("GET", "/look/a", "id-7", "X-Milletwing-Attempt-Id: id-8\r\n", ""), 400),
+        ("GET /look/a HTTP/1.1\r\nHost: h.example\r\n\r\n".into(), 400),
+        (request("GET", "/look/a", "id-9", "Host: g.example\r\n", ""), 400),
+        ("GET /look/a HTTP/1.1\r\nHo st: h\r\n\r\n".into(), 400),
+        ("GARBAGE\r\n\r\n".into(), 400),
+    ] {
+        assert_eq!(ask(&text).map(|(status, ..)| status), Some(wanted), "{text}");
+    }
+    // A head that comes too slowly ends with its connection: this read returns only because the edge closes.
+    let mut slow = TcpStream::connect(to).unwrap();
+    slow.set_read_timeout(Some(PATIENCE)).unwrap();
+    slow.write_all(b"GET /look/slow HTTP/1.1\r\nHost: h.exa").unwrap();
+    let mut rest = Vec::new();
+    let _ = slow.read_to_end(&mut rest);
+    assert!(!String::from_utf8_lossy(&rest).contains(" 200 "));
+    let ran: Vec<String> = runs.lock().unwrap().keys().cloned().collect();
+    assert_eq!(ran, ["id-1", "id-2"]);
+}
+
+#[test]
+fn what_is_no_whole_answer_never_looks_like_one() {
+    let place = Place::new("answers");
+    let _core = place.core();
+    assert_eq!(place.configure(&[3, 1], 0, 3), 200);
+    let (first, runs) = marshal(place.at(100, 0), "i-1");
+    let (second, more) = marshal(place.at(101, 0), "i-2");
+    assert_eq!(place.beat(&[1], "i-1", first), 200);
+    assert_eq!(place.beat(&[1], "i-2", second), 200);
+    let edge = place.start("carrier", 20, true);
+    edge.until("M130");
+    let to = place.at(20, 8548);
+    let runs_of = |id: &str| {
+        [&runs, &more].iter().filter_map(|runs| runs.lock().unwrap().get(id).copied()).sum::<u32>()
+    };
+    for (at, kind) in ["other", "packed", "unsealed", "short", "garbage"].iter().enumerate() {
+        let id = format!("order-{at}");
+        let (status, ..) =
+            raw(to, request("POST", &format!("/order/{kind}"), &id, "Content-Length: 1\r\n", "x").as_bytes())
+                .unwrap();
+        assert_eq!((status, runs_of(&id)), (502, 1), "{kind}: an order runs once, and nothing is promised");
+    }
+    // Turned away by both: it has not run, and the answer says so and when to come back.
+    let (status, head, _) =
+        raw(to, request("POST", "/order/full", "order-full", "Content-Length: 1\r\n", "x").as_bytes())
+            .unwrap();
+    assert_eq!((status, runs_of("order-full")), (503, 0));
+    assert!(head.to_ascii_lowercase().contains("retry-after: "), "{head}");
+    // After an answer with a second one behind it, the next ones are their own.
+    let mut stream = BufReader::new(TcpStream::connect(to).unwrap());
+    for at in 0..40 {
+        let path = if at % 2 == 0 { "/look/extra".to_owned() } else { format!("/look/{at}") };
+        stream.get_mut().write_all(request("GET", &path, &format!("look-{at}"), "", "").as_bytes()).unwrap();
+        let (status, _, said) = answer(&mut stream).unwrap();
+        assert_eq!((status, said), (200, format!("{path} GET ")));
+    }
+}
+
+#[test]
+fn the_core_outlives_its_leader_and_a_lost_disk() {
+    let place = Place::new("core");
+    let mut core: BTreeMap<u32, Process> = (1..).zip(place.core()).collect();
+    assert_eq!(place.configure(&[1, 2, 3], 0, 3), 200);
+    assert_eq!(place.configure(&[1, 2, 3], 0, 4), 412, "another version is in place");
+    assert_eq!(place.configure(&[2], 0, 3), 200, "the same again");
+    assert_eq!(
+        place.order(&[1], "PUT", "/milletwing/configuration", "If-Match: 3\r\n", &body(5)[..100]).0,
+        400
+    );
+    let read = |hosts: &[u32]| place.order(hosts, "GET", "/milletwing/configuration", "", "");
+    assert_eq!(read(&[3]), (200, body(3)));
+    // The leader ends at once; whoever is left goes on.
+    let (_, members) = place.order(&[1], "GET", "/milletwing/members", "", "");
+    let leader = (1..=3)
+        .find(|host| members.contains(&format!("\"leader\":\"{}\"", place.ip(*host))))
+        .expect("a leader");
+    drop(core.remove(&leader));
+    let rest: Vec<u32> = core.keys().copied().collect();
+    assert_eq!(place.configure(&rest, 3, 7), 200);
+    // It comes back without its disk, and counts only once it has all of it.
+    std::fs::remove_dir_all(place.folder.join(format!("disk{leader}"))).unwrap();
+    let back = place.start("steward", leader, false);
+    back.until("M110");
+    back.until("M122");
+    assert_eq!(read(&[leader]), (200, body(7)));
+    // A file that is none is told by name, and stays beside the new one.
+    drop(core.remove(&rest[0]));
+    let file = place.folder.join(format!("disk{}/core.redb", rest[0]));
+    std::fs::write(&file, b"no database").unwrap();
+    let torn = place.start("steward", rest[0], false);
+    assert!(torn.until("M110").contains("core.redb"));
+    torn.until("M122");
+    assert!(file.with_extension("redb.damaged").exists());
+    assert_eq!(read(&[rest[0]]), (200, body(7)));
+}
+
+#[test]
+fn an_edge_leaves_in_order_and_operators_have_their_calls() {
+    let place = Place::new("leave");
+    let _core = place.core();
+    let file = place.folder.join("configuration.json");
+    std::fs::write(&file, body(3)).unwrap();
+    let (file, core) = (file.display().to_string(), place.at(2, 8544).to_string());
+    assert!(place.helm(&["configuration", "check", &file]).1.contains("2 routes, 1 services"));
+    let mut put = (false, String::new());
+    for _ in 0..50 {
+        put = place.helm(&["configuration", "put", "--core", &core, "--on", "0", &file]);
+        if put.0 {
+            break;
+        }
+    }
+    assert!(put.0, "{}", put.1);
+    let again = place.helm(&[
+        "configuration",
+        "put",
+        "--core",
+        &core,
+        "--on",
+        "9",
+        &file.replace("configuration.json", "none"),
+    ]);
+    assert!(!again.0 && again.1.contains("none"), "{}", again.1);
+    assert_eq!(place.helm(&["configuration", "get", "--core", &core]).1.trim(), body(3));
+    assert!(
+        place.helm(&["evacuate", "--core", &core, "a"]).0
+            && place.helm(&["evacuate", "--core", &core, "a", "--back"]).0
+    );
+    assert!(place.helm(&["evacuate", "--core", &core, "nowhere"]).1.contains("there is no zone nowhere"));
+    assert!(place.helm(&["members", "--core", &core]).1.contains("\"folded\""));
+    let deploy = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/system.toml");
+    assert!(place.helm(&["check-system", deploy]).0);
+
+    let (first, _) = marshal(place.at(100, 0), "i-1");
+    assert_eq!(place.beat(&[1], "i-1", first), 200);
+    let mut edge = place.start("carrier", 20, true);
+    edge.until("M130");
+    let ready = || {
+        raw(place.at(20, 8542), b"GET /milletwing/readiness HTTP/1.1\r\nHost: e\r\n\r\n")
+            .map(|(status, ..)| status)
+    };
+    assert_eq!(ready(), Some(200));
+    let mut stream = BufReader::new(TcpStream::connect(place.at(20, 8548)).unwrap());
+    stream.get_mut().write_all(request("GET", "/look/1", "id-1", "", "").as_bytes()).unwrap();
+    assert_eq!(answer(&mut stream).unwrap().0, 200);
+    edge.signal("TERM");
+    edge.until("M103");
+    assert_eq!(ready(), Some(503));
+    // What still comes on an open connection is served, and told to come no more.
+    stream.get_mut().write_all(request("GET", "/look/2", "id-2", "", "").as_bytes()).unwrap();
+    let (status, head, _) = answer(&mut stream).unwrap();
+    assert!(status == 200 && head.to_ascii_lowercase().contains("connection: close"), "{head}");
+    edge.until("M104");
+    assert!(edge.child.wait().unwrap().success());
+}
--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -31,6 +31,9 @@
 /// Entries, and bytes of them, kept for edges that resume.
 const RECENT: (usize, usize) = (4096, 4 << 20);
 
+/// A link's queue, and the word that its machine has dialled this one.
+type Link = (mpsc::Sender<Rc<Vec<u8>>>, Rc<Notify>);
+
 struct Judged {
     /// Since when this leader has known of it, and of its newest marshal.
     begun: Time,
@@ -53,7 +56,7 @@
     pub registry: Registry,
     /// Other machines of the core that were heard of.
     pub known: Vec<Id>,
-    links: HashMap<Id, (mpsc::Sender<Rc<Vec<u8>>>, Rc<Notify>)>,
+    links: HashMap<Id, Link>,
     feeds: BTreeMap<u64, Feed>,
     next: u64,
     recent: VecDeque<(u64, Rc<Vec<u8>>)>,
