--- a/crates/carrier/src/front.rs
+++ b/crates/carrier/src/front.rs
@@ -17,8 +17,10 @@
 
 /// Clients' connections for each descriptor that the machine grants: the others are for marshals.
 const SHARE: f64 = 0.5;
-/// Bytes of a head that are read at all; the configuration's bound is below.
-const HEAD: usize = 64 << 10;
+/// Bytes of a buffer beyond the largest head that the configuration allows; what is larger ends with 431 unread.
+const ROOM: usize = 8 << 10;
+/// The largest head without a configuration, and the largest at all.
+const HEAD: (usize, usize) = (16 << 10, 256 << 10);
 /// What a client that takes nothing is given up after.
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -119,10 +121,11 @@
 async fn connection(edge: Rc<Edge>, stream: TcpStream, counted: Counted) {
     let length = Rc::new(Cell::new(false));
     let watched = Watched { stream, length: Rc::clone(&length), tail: Vec::new() };
-    let idle = {
+    let (idle, head) = {
         let course = edge.course.borrow();
         let thresholds = course.configuration().and_then(|it| it.thresholds.as_ref());
-        thresholds.map_or(15.0, |it| it.idle_guard_s).clamp(1.0, 600.0)
+        let head = thresholds.map_or(HEAD.0, |it| it.max_header_bytes as usize);
+        (thresholds.map_or(15.0, |it| it.idle_guard_s).clamp(1.0, 600.0), head.clamp(HEAD.0, HEAD.1))
     };
     let serving = Rc::clone(&edge);
     let service = service_fn(move |request| {
@@ -132,7 +135,7 @@
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_secs_f64(idle))
-        .max_buf_size(HEAD)
+        .max_buf_size(head + ROOM)
         .serve_connection(TokioIo::new(watched), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
--- a/crates/carrier/src/pool.rs
+++ b/crates/carrier/src/pool.rs
@@ -75,7 +75,7 @@
         let stream = milletwing_tidings::dial(sending.address, DIAL).await.map_err(|_| NoLease::Unreached)?;
         let _ = milletwing_tidings::groom(&stream, PATIENCE);
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(32 << 10).writev(false);
+        builder.max_buf_size(16 << 10).writev(false);
         let (sender, connection) =
             builder.handshake(TokioIo::new(stream)).await.map_err(|_| NoLease::Unreached)?;
         tokio::task::spawn_local(async move {
--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -75,6 +75,8 @@
     members: Vec<Id>,
     /// Trials under way, as this machine judges them while it leads.
     trials: BTreeMap<u64, Judged>,
+    /// When this machine folded the bad end of a service's roll-out.
+    reverted: BTreeMap<String, Time>,
     /// When machines asked to be taken in.
     joins: BTreeMap<Id, Time>,
     /// The whole state as edges get it, as of an entry: made once for all that ask.
@@ -126,6 +128,7 @@
             trials: BTreeMap::new(),
             whole: None,
             joins: BTreeMap::new(),
+            reverted: BTreeMap::new(),
         })))
     }
 
@@ -227,6 +230,9 @@
                     Ok(command) => {
                         let outcome = self.view.apply(entry.index, &command);
                         self.note(entry.index, &command, &outcome);
+                        if let Command::Settle { service, good: false, .. } = &command {
+                            self.reverted.insert(service.clone(), self.now());
+                        }
                         let answer = match outcome {
                             Outcome::Done => Answer::Done(entry.index),
                             Outcome::Refused(kind) => Answer::Refused(kind.answer().status, kind.to_string()),
@@ -542,6 +548,9 @@
                     core.verdict(verdict)
                 }
                 Ask::Configure(command) => core.enter(&command),
+                Ask::RollOut { service, revision, .. } if core.just_reverted(now, &service, &revision) => {
+                    core.verdict(Verdict::Known)
+                }
                 Ask::RollOut { service, revision, period_ms } => {
                     core.enter(&Command::RollOut { service, revision, period_ms })
                 }
@@ -569,6 +578,15 @@
         wait?.await.ok()
     }
 
+    /// Whether an order is one that has been carried out to its bad end just now. Guards against a call that got no clear
+    /// answer and goes out again: it must not try the bad version a second time.
+    fn just_reverted(&self, now: Time, service: &str, revision: &str) -> bool {
+        let again = (self.settings.timers.guarantees.ackS * 2_000.0) as Time;
+        let roll = self.view.rollouts.get(service);
+        let same = roll.is_some_and(|roll| roll.to == revision && roll.state == State::Reverted);
+        same && self.reverted.get(service).is_some_and(|at| now < at + again)
+    }
+
     fn verdict(&mut self, verdict: Verdict) -> Option<oneshot::Receiver<Answer>> {
         match verdict {
             Verdict::Enter(command) => self.enter(&command),
