A zone that two orders emptied stays so until both are taken back

Two evacuations of the zone overlapped (17.9 to 25.9 s, 18.2 to 26.2 s): the core held a set of zones, so the first DELETE took the zone back while the second order stood: 'M132 trd-c is taken back' at 26.03 s, requests at 26.05 s, second DELETE at 26.2 s. Ruled out: edges that lag (all had the entry within 0.2 s), requests on their way. Change: orders to empty a zone are counted, three at most; where one is taken back while another stands, the zone stays empty until that one is taken back too, or for evacuationS, in case the second was the same call sent twice.

--- a/crates/course/src/course.rs
+++ b/crates/course/src/course.rs
@@ -200,7 +200,7 @@
             marshal.phase(&node.phase, self.place.id);
             marshal.new = view.trial(node).is_some();
             marshal.open = node.phase != Phase::Draining
-                && !view.evacuated.contains(&node.zone)
+                && !view.evacuated.contains_key(&node.zone)
                 && (marshal.new || view.in_service(node));
             let sessions =
                 self.of.as_ref().and_then(|it| it.targets.get(&node.target)).map_or(64, |it| it.max_sessions);
--- a/crates/ledger/src/view.rs
+++ b/crates/ledger/src/view.rs
@@ -5,7 +5,7 @@
 use milletwing_tenet::{Configuration, Kind};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 /// Bytes of a configuration: one of some twenty thousand routes.
@@ -14,6 +14,8 @@
 const MOST_STATE: usize = 16 << 20;
 /// Configurations remembered, so that one sent again is known as taken.
 const REMEMBERED: usize = 1024;
+/// Orders to empty a zone that are counted.
+const ORDERS: u32 = 3;
 /// Marshals that have left remembered, so that a late beat doesn't bring one back.
 const LEFT: usize = 4096;
 
@@ -44,6 +46,15 @@
     }
 }
 
+/// A zone that is emptied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Emptied {
+    /// Orders to empty it that were not taken back.
+    pub orders: u32,
+    /// One was taken back while another stands.
+    pub back: bool,
+}
+
 /// A roll-out.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RollOut {
@@ -84,7 +95,7 @@
     /// Ids of those that said that they are gone, oldest first.
     left: VecDeque<String>,
     /// Zones that are emptied.
-    pub evacuated: BTreeSet<String>,
+    pub evacuated: BTreeMap<String, Emptied>,
     /// The newest roll-out of each service.
     pub rollouts: BTreeMap<String, RollOut>,
     /// The version of each service that has its traffic.
@@ -250,15 +261,24 @@
 
     fn evacuate(&mut self, zone: &str, on: bool, deals: &[(String, Deal)]) -> Outcome {
         if on {
-            self.evacuated.insert(zone.into());
-        } else if self.evacuated.remove(zone) {
-            // Whatever is not dealt for stays cold without a part: nobody knows whether it is warm.
-            let ids: Vec<String> =
-                self.nodes.values().filter(|node| node.zone == zone).map(|node| node.id.clone()).collect();
-            for id in ids {
-                let deal = deals.iter().find(|(dealt, _)| *dealt == id).map(|(_, deal)| deal.clone());
-                self.turn(&id, Phase::Cold(deal.unwrap_or_default()));
-            }
+            let emptied = self.evacuated.entry(zone.into()).or_insert(Emptied { orders: 0, back: false });
+            // Bounded: a call that goes out again counts as an order, too, and nobody takes it back.
+            *emptied = Emptied { orders: (emptied.orders + 1).min(ORDERS), back: false };
+            return Outcome::Done;
+        }
+        let Some(emptied) = self.evacuated.get_mut(zone) else { return Outcome::Done };
+        if emptied.orders > 1 {
+            // Guards against filling a zone that another order still wants empty.
+            *emptied = Emptied { orders: emptied.orders - 1, back: true };
+            return Outcome::Done;
+        }
+        self.evacuated.remove(zone);
+        // Whatever is not dealt for stays cold without a part: nobody knows whether it is warm.
+        let ids: Vec<String> =
+            self.nodes.values().filter(|node| node.zone == zone).map(|node| node.id.clone()).collect();
+        for id in ids {
+            let deal = deals.iter().find(|(dealt, _)| *dealt == id).map(|(_, deal)| deal.clone());
+            self.turn(&id, Phase::Cold(deal.unwrap_or_default()));
         }
         Outcome::Done
     }
--- a/crates/ledger/tests/histories.rs
+++ b/crates/ledger/tests/histories.rs
@@ -183,6 +183,29 @@
     assert_eq!(view.nodes, before);
 }
 
+#[test]
+fn a_zone_ordered_empty_twice_is_back_only_when_both_are_taken_back() {
+    let (mut view, mut registry) = (configured(1), Registry::default());
+    take(&mut view, &mut registry, 10, "i-1", &beat("s", "10.0.0.9:80", "available", 0.0, 1));
+    let order = |on| Command::Evacuate { zone: "a".into(), on, deals: Vec::new() };
+    for (on, emptied) in [
+        (true, true),
+        (true, true),
+        (false, true),
+        (false, false),
+        (false, false),
+        (true, true),
+        (false, false),
+    ] {
+        view.apply(view.index + 1, &order(on));
+        assert_eq!(view.evacuated.contains_key("a"), emptied);
+    }
+    // A call that goes out again and again is not counted without bound.
+    (0..100).for_each(|_| drop(view.apply(view.index + 1, &order(true))));
+    (0..3).for_each(|_| drop(view.apply(view.index + 1, &order(false))));
+    assert!(view.evacuated.is_empty());
+}
+
 #[test]
 fn silent_marshals_are_taken_out_unless_most_are_silent() {
     let (mut view, mut registry) = (configured(1), Registry::default());
--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -74,6 +74,8 @@
     members: Vec<Id>,
     /// Trials under way, as this machine judges them while it leads.
     trials: BTreeMap<u64, Judged>,
+    /// Since when a zone waits for its other order to be taken back.
+    lingers: BTreeMap<String, Time>,
     /// When this machine folded the bad end of a service's roll-out.
     reverted: BTreeMap<String, Time>,
     /// When machines asked to be taken in.
@@ -128,6 +130,7 @@
             whole: None,
             joins: BTreeMap::new(),
             reverted: BTreeMap::new(),
+            lingers: BTreeMap::new(),
         })))
     }
 
@@ -317,6 +320,7 @@
         if role == Role::Leader && self.role != Role::Leader {
             tell!(Leads, "term {}", self.member.term());
             self.trials.clear();
+            self.lingers.clear();
             self.registry.lead(now, &self.view, &Core::cold_for(&self.view));
         }
         if leader != self.leader && role != Role::Leader {
@@ -402,6 +406,7 @@
         if self.role == Role::Leader {
             let mut commands = self.registry.sweep(now, &self.view, silence);
             commands.extend(self.judge(now));
+            commands.extend(self.linger(now));
             for command in commands {
                 self.member.propose(now, command.bytes());
             }
@@ -568,11 +573,7 @@
                     core.enter(&Command::Evacuate { zone, on: true, deals: Vec::new() })
                 }
                 Ask::Evacuate { zone, on: false } => {
-                    let command = if core.view.evacuated.contains(&zone) {
-                        core.registry.take_back(now, &core.view, &zone, &Core::cold_for(&core.view))
-                    } else {
-                        Command::Evacuate { zone, on: false, deals: Vec::new() }
-                    };
+                    let command = core.take_back(now, zone);
                     core.enter(&command)
                 }
                 Ask::Read => {
@@ -588,6 +589,28 @@
         wait?.await.ok()
     }
 
+    /// The entry that takes a zone back.
+    fn take_back(&mut self, now: Time, zone: String) -> Command {
+        if self.view.evacuated.get(&zone).is_some_and(|emptied| emptied.orders == 1) {
+            return self.registry.take_back(now, &self.view, &zone, &Core::cold_for(&self.view));
+        }
+        Command::Evacuate { zone, on: false, deals: Vec::new() }
+    }
+
+    /// Zones of which one order was taken back while another stands: after a while the other is taken for the same call,
+    /// sent twice.
+    fn linger(&mut self, now: Time) -> Vec<Command> {
+        let back: Vec<String> =
+            self.view.evacuated.iter().filter(|(_, it)| it.back).map(|(zone, _)| zone.clone()).collect();
+        self.lingers.retain(|zone, _| back.contains(zone));
+        let wait = (self.settings.timers.guarantees.evacuationS * 1_000.0) as Time;
+        let due: Vec<String> = back
+            .into_iter()
+            .filter(|zone| now >= *self.lingers.entry(zone.clone()).or_insert(now) + wait)
+            .collect();
+        due.into_iter().map(|zone| self.take_back(now, zone)).collect()
+    }
+
     /// Whether an order is one that has been carried out to its bad end just now. Guards against a call that got no clear
     /// answer and goes out again: it must not try the bad version a second time.
     fn just_reverted(&self, now: Time, service: &str, revision: &str) -> bool {
