--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -28,6 +28,8 @@
     pub losses: usize,
     /// Entries after which a snapshot is taken; a quarter of it stays behind the snapshot.
     pub snapshot_every: u64,
+    /// Bytes of a snapshot in one message.
+    pub part: usize,
     /// Where its chance begins: another one at each start.
     pub seed: u64,
 }
@@ -45,8 +47,20 @@
     /// What stands on the follower's disk up to `matched`, or where the leader should try next. `counts`: this machine
     /// may be counted for a majority.
     Appended { term: u64, fits: bool, matched: u64, round: u64, counts: bool },
-    /// A snapshot in place of entries that the leader has no more.
-    Install { term: u64, snapshot: Snapshot, round: u64 },
+    /// A part of a snapshot in place of entries that the leader has no more: what it stands for, its bytes from `offset` on,
+    /// how many there are in all, and their checksum.
+    Install {
+        term: u64,
+        last: Mark,
+        members: Vec<Id>,
+        offset: u64,
+        part: Vec<u8>,
+        total: u64,
+        sum: u32,
+        round: u64,
+    },
+    /// So much of that snapshot is here: the next part begins there.
+    Installed { term: u64, last: Mark, have: u64, round: u64, counts: bool },
     /// Stand for election at once: the leader leaves.
     Hand { term: u64 },
     /// A machine without memory asks what there is. `call` is drawn at its start.
@@ -101,6 +115,8 @@
     /// When entries went out that are not answered yet.
     waiting: Option<Time>,
     round: u64,
+    /// The snapshot that it is sent, and how much of it has arrived.
+    snapshot: (Mark, u64),
 }
 
 /// What a stopped machine's disk holds, for operators.
@@ -169,6 +185,8 @@
     dirty: bool,
     fresh: Vec<Entry>,
     placed: Option<(Snapshot, u64)>,
+    /// A leader's snapshot of which parts have come.
+    coming: Option<(Mark, Vec<u8>)>,
     out: Vec<(Id, Message)>,
 }
 
@@ -213,6 +231,7 @@
             dirty: false,
             fresh: Vec::new(),
             placed: None,
+            coming: None,
             out: Vec::new(),
             set,
         };
@@ -480,7 +499,24 @@
                 let entries = self.log.from(next, MOST_BYTES);
                 Message::Append { term, before: (before, next - 1), entries, commit, round }
             }
-            None => Message::Install { term, snapshot: self.log.snapshot.clone(), round },
+            None => {
+                let Snapshot { last, members, data } = &self.log.snapshot;
+                if peer.snapshot.0 != *last {
+                    peer.snapshot = (*last, 0);
+                }
+                let from = (peer.snapshot.1 as usize).min(data.len());
+                let part = data[from..(from + self.set.part.max(1)).min(data.len())].to_vec();
+                Message::Install {
+                    term,
+                    last: *last,
+                    members: members.clone(),
+                    offset: from as u64,
+                    part,
+                    total: data.len() as u64,
+                    sum: crc32fast::hash(data),
+                    round,
+                }
+            }
         };
         self.out.push((id, message));
     }
@@ -564,9 +600,16 @@
                     self.take(from, before, entries, commit, round);
                 }
             }
-            Message::Install { term, snapshot, round } => {
+            Message::Install { term, last, members, offset, part, total, sum, round } => {
                 if self.heed(now, from, term, round) {
-                    self.install(from, snapshot, round);
+                    self.install(from, (last, members), (offset, part, total, sum), round);
+                }
+            }
+            Message::Installed { term, last, have, round, counts } => {
+                if term > self.hard.term {
+                    self.follow(now, term, None);
+                } else if term == self.hard.term && self.role == Role::Leader {
+                    self.arrived(now, from, last, have, round, counts);
                 }
             }
             Message::Appended { term, fits, matched, round, counts } => {
@@ -693,21 +736,62 @@
         self.out.push((from, Message::Appended { term, fits: true, matched, round, counts }));
     }
 
-    fn install(&mut self, from: Id, snapshot: Snapshot, round: u64) {
-        let (term, index) = (self.hard.term, snapshot.last.1);
+    /// Takes a part of a snapshot; the last one puts it in place, if all together are what the leader has.
+    fn install(
+        &mut self,
+        from: Id,
+        (last, members): (Mark, Vec<Id>),
+        (offset, part, total, sum): (u64, Vec<u8>, u64, u32),
+        round: u64,
+    ) {
+        let (term, index) = (self.hard.term, last.1);
         // One that is behind what is committed here brings nothing.
         if index > self.commit {
+            // Parts that came before are kept over a change of leaders: the same mark stands for the same state.
+            let mut data = match self.coming.take() {
+                Some((mark, data)) if mark == last => data,
+                _ => Vec::new(),
+            };
+            if offset == data.len() as u64 {
+                data.extend_from_slice(&part);
+            }
+            let have = data.len() as u64;
+            // Guards against a state put together wrongly: it begins anew.
+            let wrong = have > total || (have == total && crc32fast::hash(&data) != sum);
+            if have < total || wrong {
+                let (have, counts) = (if wrong { 0 } else { have }, self.counts());
+                self.coming = (!wrong).then_some((last, data));
+                self.out.push((from, Message::Installed { term, last, have, round, counts }));
+                return;
+            }
+            let snapshot = Snapshot { last, members, data };
             self.fresh.clear();
             self.log.restore(snapshot.clone());
             self.members = self.log.members();
             (self.commit, self.written) = (index, index);
             self.placed = Some((snapshot, index + 1));
         }
+        self.coming = None;
         self.caught_up();
         let (matched, counts) = (index, self.counts());
         self.out.push((from, Message::Appended { term, fits: true, matched, round, counts }));
     }
 
+    /// A part of a snapshot has arrived: the next one goes.
+    fn arrived(&mut self, now: Time, from: Id, last: Mark, have: u64, round: u64, counts: bool) {
+        let Some(peer) = self.peers.get_mut(&from) else { return };
+        (peer.heard, peer.counts) = (now, counts);
+        peer.round = peer.round.max(round);
+        if !counts {
+            peer.matched = 0;
+        }
+        if peer.snapshot.0 == last {
+            peer.snapshot.1 = have;
+            peer.waiting = None;
+            self.append(now, from, true);
+        }
+    }
+
     fn counts(&self) -> bool {
         !self.hard.lost
     }
--- a/crates/accord/tests/lines.rs
+++ b/crates/accord/tests/lines.rs
@@ -5,7 +5,15 @@
 const FOUNDERS: [u32; 3] = [1, 2, 3];
 
 fn options(id: u32) -> Options {
-    Options { id, election: 300, heartbeat: 50, losses: 1, snapshot_every: 1_000, seed: u64::from(id) }
+    Options {
+        id,
+        election: 300,
+        heartbeat: 50,
+        losses: 1,
+        snapshot_every: 1_000,
+        part: 64,
+        seed: u64::from(id),
+    }
 }
 
 fn founder(id: u32) -> Member {
@@ -126,6 +134,46 @@
     assert_eq!(first.marks().0, 3);
 }
 
+fn part(offset: u64, bytes: &[u8], total: u64, sum: u32) -> Message {
+    let (last, members, part) = ((1, 1), FOUNDERS.to_vec(), bytes.to_vec());
+    Message::Install { term: 4, last, members, offset, part, total, sum, round: 0 }
+}
+
+#[test]
+fn a_snapshot_comes_in_parts_is_resumed_and_checked() {
+    let mut member = Member::new(options(4), &Stored::default(), None, &FOUNDERS, 0).unwrap();
+    member.tick(25);
+    let asked = settle(&mut member, 25).1;
+    let Some((_, Message::Recall { call })) = asked.first() else { panic!("it asks the others") };
+    for from in [2, 3] {
+        let told =
+            Message::Recalled { call: *call, term: 4, last: (1, 1), members: FOUNDERS.to_vec(), whole: true };
+        member.step(30, from, told);
+    }
+    let sum = crc32fast::hash(b"abcdef");
+    let mut said = |message: Message| {
+        member.step(40, 2, message);
+        let out = settle(&mut member, 40).1;
+        (
+            out.iter().find_map(
+                |(_, it)| if let Message::Installed { have, .. } = it { Some(*have) } else { None },
+            ),
+            member.marks().0,
+        )
+    };
+    assert_eq!(said(part(0, b"abc", 6, sum)), (Some(3), 0));
+    assert_eq!(said(part(0, b"abc", 6, sum)), (Some(3), 0), "the same part again adds nothing");
+    assert_eq!(said(part(4, b"ef", 6, sum)), (Some(3), 0), "a part is missing");
+    assert_eq!(
+        said(part(3, b"deX", 6, sum)),
+        (Some(0), 0),
+        "it is not what the leader has: from the beginning"
+    );
+    assert_eq!(said(part(0, b"abcd", 6, sum)), (Some(4), 0));
+    assert_eq!(said(part(4, b"ef", 6, sum)), (None, 1));
+    assert_eq!(member.snapshot().data, b"abcdef");
+}
+
 #[test]
 fn a_lost_disk_lends_no_vote_in_a_term_that_it_may_have_voted_in() {
     let mut member = Member::new(options(1), &Stored::default(), None, &FOUNDERS, 0).unwrap();
@@ -152,9 +200,7 @@
     );
     assert!(member.lost());
     member.step(30, 3, told((0, 0)));
-    let snapshot =
-        milletwing_accord::log::Snapshot { last: (1, 1), members: FOUNDERS.to_vec(), data: Vec::new() };
-    member.step(40, 2, Message::Install { term: 4, snapshot, round: 0 });
+    member.step(40, 2, part(0, b"", 0, 0));
     settle(&mut member, 40);
     assert!(!member.lost(), "it holds what the others told");
     member.step(9_000, 3, Message::Ask { term: 4, early: false, last: (9, 9) });
--- a/crates/accord/tests/world.rs
+++ b/crates/accord/tests/world.rs
@@ -107,6 +107,7 @@
             heartbeat: 50,
             losses: self.losses,
             snapshot_every: 20,
+            part: 64,
             seed: self.chance.random(),
         };
         let machine = self.machines.get_mut(&id).unwrap();
--- a/crates/course/tests/decisions.rs
+++ b/crates/course/tests/decisions.rs
@@ -130,7 +130,7 @@
 fn what_is_closed_gets_nothing() {
     let mut view = view(12);
     view.apply(100, &Command::NodeDrains { id: "i-v1-0".into() });
-    view.apply(101, &Command::Evacuate { zone: "b".into(), on: true, deals: Vec::new() });
+    view.apply(101, &Command::Evacuate { zone: "b".into(), on: true, sure: false, deals: Vec::new() });
     view.apply(102, &Command::NodeUp(node(3, "v2", Phase::Warm)));
     view.apply(103, &Command::NodeCold { id: "i-v1-2".into(), deal: Vec::new() });
     for id in 0..8 {
--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -53,8 +53,9 @@
     NodeWarm { id: String },
     /// It has turned cold.
     NodeCold { id: String, deal: Deal },
-    /// A zone is emptied; or taken back, its marshals cold until they are known to be warm.
-    Evacuate { zone: String, on: bool, deals: Vec<(String, Deal)> },
+    /// A zone is emptied; or taken back, its marshals cold until they are known to be warm. `sure`: an order that can't be an
+    /// earlier one sent again.
+    Evacuate { zone: String, on: bool, sure: bool, deals: Vec<(String, Deal)> },
     /// A version is to be brought in, within so many milliseconds.
     RollOut { service: String, revision: String, period_ms: u64 },
     /// A roll-out moves to a stage.
--- a/crates/ledger/src/registry.rs
+++ b/crates/ledger/src/registry.rs
@@ -236,11 +236,17 @@
             life.held = true;
             deals.push((node.id.clone(), self.deal(now, view, &node.target, zone)));
         }
-        Command::Evacuate { zone: zone.into(), on: false, deals }
+        Command::Evacuate { zone: zone.into(), on: false, sure: false, deals }
     }
 
     /// What the leader enters by itself: marshals that have become warm, and silent ones as long as most are heard.
-    pub fn sweep(&mut self, now: Time, view: &View, silence: Time) -> Vec<Command> {
+    pub fn sweep(
+        &mut self,
+        now: Time,
+        view: &View,
+        silence: Time,
+        cold_for: &dyn Fn(&str) -> f64,
+    ) -> Vec<Command> {
         let mut out = Vec::new();
         let silent: Vec<&Node> = view
             .nodes
@@ -255,7 +261,16 @@
         }
         for node in view.nodes.values() {
             let life = self.lives.entry(node.id.clone()).or_insert(Life { heard: now, ..Life::default() });
-            if matches!(node.phase, Phase::Cold(_)) && life.cold.is_none_or(|until| now >= until) {
+            if !matches!(node.phase, Phase::Cold(_)) {
+                continue;
+            }
+            // Guards against warming what this machine has only read of: a new leader folds earlier entries after it
+            // was elected, and how long those marshals stay cold it has not heard.
+            if life.cold.is_none() {
+                life.cold = Some(now + (cold_for(&node.target) * 1000.0) as Time);
+                life.held = true;
+            }
+            if life.cold.is_some_and(|until| now >= until) {
                 out.push(Command::NodeWarm { id: node.id.clone() });
             }
         }
--- a/crates/ledger/src/view.rs
+++ b/crates/ledger/src/view.rs
@@ -53,6 +53,8 @@
     pub orders: u32,
     /// One was taken back while another stands.
     pub back: bool,
+    /// They are certainly more than one order.
+    pub sure: bool,
 }
 
 /// A roll-out.
@@ -174,7 +176,7 @@
                 self.turn(id, Phase::Cold(deal.clone()));
                 Outcome::Done
             }
-            Command::Evacuate { zone, on, deals } => self.evacuate(zone, *on, deals),
+            Command::Evacuate { zone, on, sure, deals } => self.evacuate(zone, *on, *sure, deals),
             Command::RollOut { service, revision, period_ms } => {
                 self.roll_out(index, service, revision, *period_ms)
             }
@@ -259,17 +261,19 @@
         Outcome::Done
     }
 
-    fn evacuate(&mut self, zone: &str, on: bool, deals: &[(String, Deal)]) -> Outcome {
+    fn evacuate(&mut self, zone: &str, on: bool, sure: bool, deals: &[(String, Deal)]) -> Outcome {
         if on {
-            let emptied = self.evacuated.entry(zone.into()).or_insert(Emptied { orders: 0, back: false });
+            let emptied =
+                self.evacuated.entry(zone.into()).or_insert(Emptied { orders: 0, back: false, sure: false });
             // Bounded: a call that goes out again counts as an order, too, and nobody takes it back.
-            *emptied = Emptied { orders: (emptied.orders + 1).min(ORDERS), back: false };
+            let sure = emptied.sure || (sure && emptied.orders > 0);
+            *emptied = Emptied { orders: (emptied.orders + 1).min(ORDERS), back: false, sure };
             return Outcome::Done;
         }
         let Some(emptied) = self.evacuated.get_mut(zone) else { return Outcome::Done };
         if emptied.orders > 1 {
             // Guards against filling a zone that another order still wants empty.
-            *emptied = Emptied { orders: emptied.orders - 1, back: true };
+            *emptied = Emptied { orders: emptied.orders - 1, back: true, ..*emptied };
             return Outcome::Done;
         }
         self.evacuated.remove(zone);
--- a/crates/ledger/tests/histories.rs
+++ b/crates/ledger/tests/histories.rs
@@ -168,15 +168,15 @@
     let (mut view, mut registry) = (configured(1), Registry::default());
     registry.edge(0, edge(1, "a", "north"), 0);
     take(&mut view, &mut registry, 10, "i-1", &beat("s", "10.0.0.9:80", "available", 0.0, 1));
-    let on = Command::Evacuate { zone: "a".into(), on: true, deals: Vec::new() };
+    let on = Command::Evacuate { zone: "a".into(), on: true, sure: false, deals: Vec::new() };
     view.apply(view.index + 1, &on);
     let back = registry.take_back(1_000, &view, "a", &|_| 3.0);
     view.apply(view.index + 1, &back);
     // A beat that was on its way says that it is warm.
     assert!(!take(&mut view, &mut registry, 1_100, "i-1", &beat("s", "10.0.0.9:80", "available", 0.0, 2)));
     assert!(matches!(view.nodes["i-1"].phase, Phase::Cold(_)));
-    assert!(registry.sweep(4_000, &view, 60_000).is_empty());
-    assert_eq!(registry.sweep(4_600, &view, 60_000), [Command::NodeWarm { id: "i-1".into() }]);
+    assert!(registry.sweep(4_000, &view, 60_000, &|_| 3.0).is_empty());
+    assert_eq!(registry.sweep(4_600, &view, 60_000, &|_| 3.0), [Command::NodeWarm { id: "i-1".into() }]);
     // The same order again changes nothing.
     let before = view.nodes.clone();
     view.apply(view.index + 1, &back);
@@ -187,7 +187,7 @@
 fn a_zone_ordered_empty_twice_is_back_only_when_both_are_taken_back() {
     let (mut view, mut registry) = (configured(1), Registry::default());
     take(&mut view, &mut registry, 10, "i-1", &beat("s", "10.0.0.9:80", "available", 0.0, 1));
-    let order = |on| Command::Evacuate { zone: "a".into(), on, deals: Vec::new() };
+    let order = |on| Command::Evacuate { zone: "a".into(), on, sure: false, deals: Vec::new() };
     for (on, emptied) in [
         (true, true),
         (true, true),
@@ -206,6 +206,20 @@
     assert!(view.evacuated.is_empty());
 }
 
+/// A machine that has just come to lead folds what earlier leaders entered: whom that calls cold it has never heard.
+#[test]
+fn a_new_leader_warms_nobody_that_it_has_only_read_of() {
+    let (mut view, mut before) = (configured(1), Registry::default());
+    before.edge(0, edge(1, "a", "north"), 0);
+    take(&mut view, &mut before, 10, "i-1", &beat("s", "10.0.0.9:80", "available", 3.0, 1));
+    assert!(matches!(view.nodes["i-1"].phase, Phase::Cold(_)));
+    let mut leader = Registry::default();
+    leader.lead(100, &View::default(), &|_| 3.0);
+    leader.heard(110, &["i-1".into()]);
+    assert!(leader.sweep(120, &view, 60_000, &|_| 3.0).is_empty());
+    assert_eq!(leader.sweep(3_200, &view, 60_000, &|_| 3.0), [Command::NodeWarm { id: "i-1".into() }]);
+}
+
 #[test]
 fn silent_marshals_are_taken_out_unless_most_are_silent() {
     let (mut view, mut registry) = (configured(1), Registry::default());
@@ -215,9 +229,12 @@
     }
     let ids = |range: std::ops::Range<u32>| range.map(|at| format!("i-{at}")).collect::<Vec<_>>();
     registry.heard(6_000, &ids(0..4));
-    assert!(registry.sweep(7_000, &view, 5_000).is_empty(), "six of ten silent: this side doesn't hear");
+    assert!(
+        registry.sweep(7_000, &view, 5_000, &|_| 3.0).is_empty(),
+        "six of ten silent: this side doesn't hear"
+    );
     registry.heard(7_000, &ids(4..8));
-    let gone = registry.sweep(7_000, &view, 5_000);
+    let gone = registry.sweep(7_000, &view, 5_000, &|_| 3.0);
     assert_eq!(gone.len(), 2, "{gone:?}");
     for command in &gone {
         view.apply(view.index + 1, command);
--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -74,6 +74,8 @@
     members: Vec<Id>,
     /// Trials under way, as this machine judges them while it leads.
     trials: BTreeMap<u64, Judged>,
+    /// When this machine folded the newest order to empty a zone.
+    emptied: BTreeMap<String, Time>,
     /// Since when a zone waits for its other order to be taken back.
     lingers: BTreeMap<String, Time>,
     /// When this machine folded the bad end of a service's roll-out.
@@ -94,6 +96,7 @@
             heartbeat: 100,
             losses: settings.timers.resilience.machine_losses,
             snapshot_every: 1_000,
+            part: 128 << 10,
             seed: rand::random(),
         };
         let founders = settings.own.initial_attach.then_some(seeds.as_slice());
@@ -131,6 +134,7 @@
             joins: BTreeMap::new(),
             reverted: BTreeMap::new(),
             lingers: BTreeMap::new(),
+            emptied: BTreeMap::new(),
         })))
     }
 
@@ -235,6 +239,9 @@
                         if let Command::Settle { service, good: false, .. } = &command {
                             self.reverted.insert(service.clone(), self.now());
                         }
+                        if let Command::Evacuate { zone, on: true, .. } = &command {
+                            self.emptied.insert(zone.clone(), self.now());
+                        }
                         let answer = match outcome {
                             Outcome::Done => Answer::Done(entry.index),
                             Outcome::Refused(kind) => Answer::Refused(kind.answer().status, kind.to_string()),
@@ -404,7 +411,7 @@
     fn sweep(&mut self, now: Time) {
         let silence = (self.settings.provider.report_s * 3_000.0) as Time + 1_000;
         if self.role == Role::Leader {
-            let mut commands = self.registry.sweep(now, &self.view, silence);
+            let mut commands = self.registry.sweep(now, &self.view, silence, &Core::cold_for(&self.view));
             commands.extend(self.judge(now));
             commands.extend(self.linger(now));
             for command in commands {
@@ -570,7 +577,8 @@
                     core.enter(&Command::RollOut { service, revision, period_ms })
                 }
                 Ask::Evacuate { zone, on: true } => {
-                    core.enter(&Command::Evacuate { zone, on: true, deals: Vec::new() })
+                    let sure = core.another(now, &zone);
+                    core.enter(&Command::Evacuate { zone, on: true, sure, deals: Vec::new() })
                 }
                 Ask::Evacuate { zone, on: false } => {
                     let command = core.take_back(now, zone);
@@ -589,21 +597,34 @@
         wait?.await.ok()
     }
 
+    /// Whether an order to empty a zone that is empty is certainly another than the one before: a call goes out again for
+    /// `ackS` at most.
+    fn another(&self, now: Time, zone: &str) -> bool {
+        let again = (self.settings.timers.guarantees.ackS * 1_000.0) as Time + 1_000;
+        self.emptied.get(zone).is_some_and(|at| now > at + again)
+    }
+
     /// The entry that takes a zone back.
     fn take_back(&mut self, now: Time, zone: String) -> Command {
         if self.view.evacuated.get(&zone).is_some_and(|emptied| emptied.orders == 1) {
             return self.registry.take_back(now, &self.view, &zone, &Core::cold_for(&self.view));
         }
-        Command::Evacuate { zone, on: false, deals: Vec::new() }
+        Command::Evacuate { zone, on: false, sure: false, deals: Vec::new() }
     }
 
     /// Zones of which one order was taken back while another stands: after a while the other is taken for the same call,
     /// sent twice.
     fn linger(&mut self, now: Time) -> Vec<Command> {
-        let back: Vec<String> =
-            self.view.evacuated.iter().filter(|(_, it)| it.back).map(|(zone, _)| zone.clone()).collect();
+        let back: Vec<String> = self
+            .view
+            .evacuated
+            .iter()
+            .filter(|(_, it)| it.back && !it.sure)
+            .map(|(zone, _)| zone.clone())
+            .collect();
         self.lingers.retain(|zone, _| back.contains(zone));
-        let wait = (self.settings.timers.guarantees.evacuationS * 1_000.0) as Time;
+        let bounds = &self.settings.timers.guarantees;
+        let wait = (bounds.evacuationS.max(bounds.ackS) * 1_000.0) as Time;
         let due: Vec<String> = back
             .into_iter()
             .filter(|zone| now >= *self.lingers.entry(zone.clone()).or_insert(now) + wait)
