Stages of a trial last a twelfth of the period

Ruled out: votes (each stage moved within 0.3 s of its clock), the roll-out back before it (gone back 0.7 s earlier). Change: a stage lasts a twelfth of the period at least, in place of a tenth.

--- a/crates/verity/src/lib.rs
+++ b/crates/verity/src/lib.rs
@@ -46,7 +46,7 @@
 
 /// Milliseconds that a stage lasts at least, for a roll-out that may take so long.
 pub fn pace(period_ms: u64) -> Time {
-    (period_ms / 10).clamp(500, 2_000)
+    (period_ms / 12).clamp(500, 2_000)
 }
 
 /// When a stage may move on without a look: it began then, and the newest marshal of the new version registered then. The
