Under pressure room is left at marshals for what goes first

Cause: a route's priority was read and never used: under pressure all classes were refused alike. Change: a marshal is left alone at three times what it works on at once, 0.4 times less for each priority that goes before, never under twice. A test: look-ups are refused at once, as not run, while orders still find room.

--- a/crates/course/src/course.rs
+++ b/crates/course/src/course.rs
@@ -91,6 +91,8 @@
 const AWAY: [f64; 3] = [0.0, 1.0, 40.0];
 /// Requests at a marshal, as a multiple of what it works on at once, beyond which it is left alone.
 const DEEP: f64 = 3.0;
+/// So much less for each priority that goes before.
+const STEP: f64 = 0.4;
 /// Further tries: our part of the ratio and of the slack, the rest is for what counting by parts misses.
 const BUDGET_PART: f64 = 0.75;
 /// Connections to a marshal that can't be made, one after the other, before the request is given up.
@@ -301,6 +303,8 @@
         let repeatable = ticket.route.class.repeatable();
         let kilobytes = self.weight.get(&ticket.route.name).copied().unwrap_or(4.0);
         let target = ticket.route.target as f64;
+        // Under pressure room is left for what goes before; never less than what marshals work on at once and as much again.
+        let deep = (DEEP - STEP * f64::from(ticket.route.rank)).max(2.0);
         let mut best: Option<(f64, u64)> = None;
         let mut full = false;
         let marshals = &mut self.marshals;
@@ -319,7 +323,7 @@
             {
                 return;
             }
-            if marshal.jobs(now) >= DEEP * marshal.capacity {
+            if marshal.jobs(now) >= deep * marshal.capacity {
                 *full = true;
                 return;
             }
--- a/crates/course/src/table.rs
+++ b/crates/course/src/table.rs
@@ -19,8 +19,8 @@
     pub guard: u64,
     /// Milliseconds inside which an answer earns its full worth.
     pub target: u64,
-    /// 0 is highest.
-    pub priority: i64,
+    /// How many priorities of this configuration go before its own.
+    pub rank: u32,
     /// Services, and the shares up to and with each.
     pub shares: Vec<(Rc<str>, f64)>,
     /// Marshals that one request may be sent to.
@@ -47,6 +47,9 @@
     /// Of a configuration.
     pub fn new(configuration: &Configuration) -> Table {
         let mut table = Table::default();
+        let mut priorities: Vec<i64> = configuration.routing.values().map(|route| route.priority).collect();
+        priorities.sort_unstable();
+        priorities.dedup();
         for (name, route) in &configuration.routing {
             let Some(class) = route.class() else { continue };
             let mut upto = 0.0;
@@ -61,7 +64,7 @@
                 class,
                 guard: (route.guard_s * 1000.0) as u64,
                 target: ((route.target_s * 1000.0) as u64).max(1),
-                priority: route.priority,
+                rank: priorities.partition_point(|it| *it < route.priority) as u32,
                 shares,
                 tries: route.max_tries.max(1),
                 regions: route.serving_regions.clone(),
--- a/crates/course/tests/decisions.rs
+++ b/crates/course/tests/decisions.rs
@@ -16,7 +16,7 @@
         r#"{{"revision":{revision},"routing":{{
         "look":{{"domain":"h.example","pathPrefix":"/look/","trafficClass":"idempotent","guardS":5,"targetS":0.3,"target":"s","maxTries":2}},
         "deep":{{"domain":"h.example","pathPrefix":"/look/deep/","trafficClass":"idempotent","guardS":5,"targetS":0.3,"target":"t","maxTries":2}},
-        "order":{{"domain":"h.example","pathPrefix":"/order/","trafficClass":"non_idempotent","guardS":5,"targetS":0.3,"target":"s","maxTries":3,
+        "order":{{"priority":-1,"domain":"h.example","pathPrefix":"/order/","trafficClass":"non_idempotent","guardS":5,"targetS":0.3,"target":"s","maxTries":3,
           "servingRegions":["north"]}}}},
         "targets":{{"s":{{"maxSessions":110,"warmupS":3,"warmupPerS":26}},"t":{{"maxSessions":110}}}},"thresholds":{{}}}}"#
     )
@@ -125,6 +125,31 @@
     }
 }
 
+/// Under pressure what goes first still finds room when the rest is refused, at once and as not run.
+#[test]
+fn under_pressure_room_is_left_for_what_goes_first() {
+    let mut course = edge(1, &view(2), 1, 1);
+    let mut count = |path: &str| {
+        let full = |_: &u32| {
+            let mut ticket = arrive(&mut course, 1, path);
+            match course.pick(1, &mut ticket) {
+                Ok(_) => true,
+                Err(kind) => {
+                    assert_eq!(
+                        (kind.clone(), kind.answer().status, kind.answer().promise),
+                        (Kind::Full, 503, true)
+                    );
+                    false
+                }
+            }
+        };
+        (0..1_000u32).take_while(full).count()
+    };
+    let (looks, orders) = (count("/look/x"), count("/order/x"));
+    assert!(looks >= 2 * 6 * 2 && orders > 0, "{looks} look-ups, then {orders} orders");
+    assert_eq!(count("/look/x"), 0);
+}
+
 /// Drains, evacuated zones and other versions get nothing from the moment that they are folded.
 #[test]
 fn what_is_closed_gets_nothing() {
