A newcomer lends its vote before it knows that it is a member; one taken out asks anew

(2) A machine that lost its disk was taken out while it waited for a leader's log: no leader sent it any, and it never asked to be taken in. Change: votes are lent by whoever has not lost its disk, the candidate alone counts members; a lost disk without a leader's word for four election times asks anew.

--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -342,6 +342,15 @@
             }
             return;
         }
+        if self.hard.lost && now >= self.deadline + 4 * self.set.election {
+            // No leader sends what it waits for: it may have been replaced meanwhile, and has to ask anew.
+            self.hard.target = None;
+            self.dirty = true;
+            self.answers.clear();
+            self.call = self.chance.random();
+            self.rest(now);
+            return;
+        }
         if self.role == Role::Leader {
             // Guards against two leaders that both think they lead: one without a majority stands down.
             if now >= self.deadline {
@@ -459,6 +468,18 @@
         true
     }
 
+    /// A member that is silent for so long while there are more members than the losses to be borne ask for: another has
+    /// taken its place, and its vote would only stand in the way of a majority.
+    pub fn superfluous(&self, now: Time, silence: Time) -> Option<Id> {
+        if self.role != Role::Leader || self.members.len() <= 2 * self.set.losses + 1 {
+            return None;
+        }
+        let silent = |(id, peer): &(&Id, &Progress)| {
+            self.members.contains(id) && now.saturating_sub(peer.heard) > silence
+        };
+        self.peers.iter().find(silent).map(|(id, _)| *id)
+    }
+
     fn push(&mut self, payload: Payload) -> Mark {
         let entry = Entry { term: self.hard.term, index: self.log.last().1 + 1, payload };
         let mark = (entry.term, entry.index);
@@ -677,8 +698,9 @@
         let led = self.leader.is_some() && now.saturating_sub(self.heard) < self.set.election;
         let leads = self.role == Role::Leader && self.backed(now, self.set.election);
         if early {
+            // Also by one that doesn't know yet that it is a member: the candidate's log may say so, and that counts.
             let granted =
-                !led && !leads && self.votes_here() && term > self.hard.term && last >= self.log.last();
+                !led && !leads && !self.hard.lost && term > self.hard.term && last >= self.log.last();
             // One that is behind in terms must learn of it, or the logs of two that can't be elected wait for each other.
             let term = if granted { term } else { self.hard.term };
             self.out.push((from, Message::Lend { term, early, granted }));
@@ -688,7 +710,7 @@
             self.follow(now, term, None);
         }
         let free = self.hard.vote.is_none_or(|vote| vote == from);
-        let granted = term == self.hard.term && free && self.votes_here() && last >= self.log.last();
+        let granted = term == self.hard.term && free && !self.hard.lost && last >= self.log.last();
         if granted {
             self.hard.vote = Some(from);
             self.dirty = true;
--- a/crates/accord/tests/world.rs
+++ b/crates/accord/tests/world.rs
@@ -45,6 +45,14 @@
     writing: Option<(Time, milletwing_accord::Work)>,
     back: Time,
     first: bool,
+    /// How fast its clock runs.
+    rate: f64,
+}
+
+impl Machine {
+    fn clock(&self, now: Time) -> Time {
+        (now as f64 * self.rate) as Time + 1
+    }
 }
 
 struct World {
@@ -63,6 +71,8 @@
     next: u64,
     answered: usize,
     wiped: BTreeSet<Id>,
+    gone: Option<Id>,
+    newest: Id,
 }
 
 impl World {
@@ -83,24 +93,25 @@
             next: 0,
             answered: 0,
             wiped: BTreeSet::new(),
+            gone: None,
+            newest: count,
         };
         for id in 1..=count {
             let back = world.chance.random_range(1..400);
-            let machine = Machine {
-                disk: Disk::default(),
-                member: None,
-                state: Vec::new(),
-                writing: None,
-                back,
-                first: true,
-            };
+            let machine = world.machine(back, true);
             world.machines.insert(id, machine);
         }
         world
     }
 
+    fn machine(&mut self, back: Time, first: bool) -> Machine {
+        let rate = self.chance.random_range(0.9..1.1);
+        Machine { disk: Disk::default(), member: None, state: Vec::new(), writing: None, back, first, rate }
+    }
+
     fn start(&mut self, id: Id) {
-        let founders: Vec<Id> = self.machines.keys().copied().take(3).collect();
+        let founders: Vec<Id> = vec![1, 2, 3];
+        let seeds: Vec<Id> = self.machines.keys().copied().collect();
         let options = Options {
             id,
             election: 300,
@@ -113,7 +124,9 @@
         let machine = self.machines.get_mut(&id).unwrap();
         let attach = std::mem::take(&mut machine.first);
         let stored = machine.disk.stored();
-        let member = Member::new(options, &stored, attach.then_some(&founders), &founders, self.now).unwrap();
+        let member =
+            Member::new(options, &stored, attach.then_some(&founders), &seeds, machine.clock(self.now))
+                .unwrap();
         machine.state = fold(&member.snapshot().data);
         machine.member = Some(member);
     }
@@ -139,7 +152,7 @@
     fn lost(&mut self) -> usize {
         let whole = |id: &Id| self.machines[id].member.as_ref().is_some_and(|member| !member.lost());
         self.wiped.retain(|id| !whole(id));
-        self.wiped.len()
+        self.wiped.len() + usize::from(self.gone.is_some())
     }
 
     fn step(&mut self) {
@@ -156,8 +169,10 @@
                 break;
             }
             let (_, (from, to, message)) = self.wire.pop_first().unwrap();
-            if let Some(member) = self.machines.get_mut(&to).and_then(|machine| machine.member.as_mut()) {
-                member.step(self.now, from, message);
+            let Some(machine) = self.machines.get_mut(&to) else { continue };
+            let clock = machine.clock(self.now);
+            if let Some(member) = machine.member.as_mut() {
+                member.step(clock, from, message);
             }
         }
         for id in ids {
@@ -168,14 +183,15 @@
     fn drive(&mut self, id: Id) {
         let (now, slow) = (self.now, self.chance.random_range(0..30));
         let machine = self.machines.get_mut(&id).unwrap();
+        let clock = machine.clock(now);
         let Some(member) = machine.member.as_mut() else { return };
         if now.is_multiple_of(25) {
-            member.tick(now);
+            member.tick(clock);
         }
         let mut out = Vec::new();
         if let Some((_, work)) = machine.writing.take_if(|(at, _)| now >= *at) {
             machine.disk.write(&work.batch);
-            member.saved(now, work.last);
+            member.saved(clock, work.last);
             out.extend(work.messages);
         }
         if let Some(data) = member.restored() {
@@ -230,43 +246,72 @@
     /// Clients: proposals and reads at whoever thinks that it leads.
     fn call(&mut self) {
         let acked = self.acked.keys().last().copied().unwrap_or(0);
-        let now = self.now;
         for (id, machine) in &mut self.machines {
+            let clock = machine.clock(self.now);
             let Some(member) = machine.member.as_mut().filter(|member| member.role() == Role::Leader) else {
                 continue;
             };
             self.next += 1;
             if self.next.is_multiple_of(3) {
-                if member.read(now, self.next) {
+                if member.read(clock, self.next) {
                     self.reads.insert((*id, self.next), acked);
                 }
-            } else if let Some((term, index)) = member.propose(now, self.next.to_le_bytes().to_vec()) {
+            } else if let Some((term, index)) = member.propose(clock, self.next.to_le_bytes().to_vec()) {
                 self.waiting.push((*id, term, index, self.next));
             }
         }
     }
 
-    /// Machines beyond the founders join, one at a time.
+    /// Machines that are no members join, one at a time; those that others have replaced are taken out.
     fn join(&mut self) {
-        let now = self.now;
-        let all: Vec<Id> = self.machines.keys().copied().collect();
+        // Only one that has asked the others and owes nothing asks to be taken in.
+        let asks = |(id, machine): (&Id, &Machine)| {
+            machine.member.as_ref().is_some_and(|member| !member.lost()).then_some(*id)
+        };
+        let all: Vec<Id> = self.machines.iter().filter_map(asks).collect();
         for machine in self.machines.values_mut() {
+            let clock = machine.clock(self.now);
             let Some(member) = machine.member.as_mut().filter(|member| member.role() == Role::Leader) else {
                 continue;
             };
-            if let Some(new) = all.iter().find(|id| !member.members().contains(id)) {
-                let mut members = member.members().to_vec();
+            let mut members = member.members().to_vec();
+            if let Some(new) = all.iter().find(|id| !members.contains(id)) {
                 members.push(*new);
-                member.change(now, members);
+            } else if let Some(old) = member.superfluous(clock, 1_000) {
+                members.retain(|id| *id != old);
             }
+            member.change(clock, members);
+        }
+        // It counts among the losses until every machine that is left holds that it is out.
+        if self.joined() {
+            self.gone = None;
         }
     }
 
+    /// Whether all machines are members that count.
+    fn joined(&self) -> bool {
+        let all: Vec<Id> = self.machines.keys().copied().collect();
+        self.machines
+            .values()
+            .all(|it| it.member.as_ref().is_some_and(|it| !it.lost() && it.members() == all))
+    }
+
+    /// A machine is gone for good; an empty one comes in its place, under another number.
+    fn replace(&mut self, id: Id, back: Time) {
+        self.kill(id, true, 0);
+        self.machines.remove(&id);
+        self.wiped.remove(&id);
+        self.gone = Some(id);
+        self.newest += 1;
+        let machine = self.machine(self.now + back, false);
+        self.machines.insert(self.newest, machine);
+    }
+
     fn trouble(&mut self) {
         let ids: Vec<Id> = self.machines.keys().copied().collect();
         let pick = ids[self.chance.random_range(0..ids.len())];
         let back = self.chance.random_range(50..1500);
-        match self.chance.random_range(0..8) {
+        match self.chance.random_range(0..9) {
             0 => self.kill(pick, false, back),
             1 if self.lost() < self.losses => self.kill(pick, true, back),
             2 => ids.iter().for_each(|id| self.kill(*id, false, back)),
@@ -281,6 +326,7 @@
                 .cuts
                 .extend(ids.iter().filter(|id| **id != pick).flat_map(|id| [(*id, pick), (pick, *id)])),
             5 => self.cuts.extend(ids.iter().filter(|id| **id != pick).map(|id| (pick, *id))),
+            8 if self.lost() == 0 && self.joined() => self.replace(pick, back),
             6 => self.loss = self.chance.random_range(0.0..0.3),
             _ => {
                 self.cuts.clear();
@@ -321,6 +367,9 @@
             if led && world.now.is_multiple_of(500) {
                 world.call();
             }
+            if world.now.is_multiple_of(100) {
+                world.join();
+            }
             let done = |machine: &Machine| {
                 machine.member.as_ref().is_some_and(|member| !member.lost())
                     && world.acked.iter().all(|(index, value)| machine.state.contains(&(*index, *value)))
--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -522,18 +522,11 @@
         }
     }
 
-    /// Ends the membership of a machine that is silent, once there are more members than the losses to be borne ask for:
-    /// another has taken its place. Its vote would only stand in the way of a majority.
+    /// Ends the membership of a machine that another has replaced.
     fn replace(&mut self, now: Time) {
-        let members = self.member.members();
-        if members.len() <= 2 * self.settings.timers.resilience.machine_losses + 1 {
-            return;
-        }
-        let silent = self.member.peers().find(|(id, heard, ..)| {
-            members.contains(id) && now.saturating_sub(*heard) > REPLACED && !self.joined(*id, now)
-        });
-        if let Some((id, ..)) = silent {
-            let rest = members.iter().copied().filter(|member| *member != id).collect();
+        let silent = self.member.superfluous(now, REPLACED).filter(|id| !self.joined(*id, now));
+        if let Some(id) = silent {
+            let rest = self.member.members().iter().copied().filter(|member| *member != id).collect();
             self.member.change(now, rest);
         }
     }
