Of two core machines that ask for votes at the same time one yields

Ruled out: links (dialled back within 30 ms), the lost disk (it counts for nothing, rightly). Change: a machine that asks itself grants the question of a lower number only to a longer log; one that stood comes again after 0.15 to 0.6 s.

--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -377,7 +377,9 @@
 
     /// Asks for votes; `early` only asks beforehand.
     fn stand(&mut self, now: Time, early: bool) {
-        self.rest(now);
+        // Whoever stands already comes again sooner than one that waits for a silent leader: votes may have been split.
+        let wait = self.set.election;
+        self.deadline = now + wait / 4 + self.chance.random_range(0..=wait * 3 / 4);
         self.votes = BTreeSet::from([self.set.id]);
         self.leader = None;
         if early {
@@ -698,9 +700,15 @@
         let led = self.leader.is_some() && now.saturating_sub(self.heard) < self.set.election;
         let leads = self.role == Role::Leader && self.backed(now, self.set.election);
         if early {
+            // Of two that ask each other at the same time with the same log, one yields: else both stand and neither is elected.
+            let yields = self.role != Role::Asking || last > self.log.last() || from > self.set.id;
             // Also by one that doesn't know yet that it is a member: the candidate's log may say so, and that counts.
-            let granted =
-                !led && !leads && !self.hard.lost && term > self.hard.term && last >= self.log.last();
+            let granted = yields
+                && !led
+                && !leads
+                && !self.hard.lost
+                && term > self.hard.term
+                && last >= self.log.last();
             // One that is behind in terms must learn of it, or the logs of two that can't be elected wait for each other.
             let term = if granted { term } else { self.hard.term };
             self.out.push((from, Message::Lend { term, early, granted }));
