Resolutions are held shortly while edges come back one after the other

Ruled out: marshals that reset connections (the same marshals were reached from other edges), the core (a leader 0.35 s after the start). Change: ttlS is 1 s for 3 s after an edge was new among those that take traffic, and after a core machine's start.

--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -10,7 +10,7 @@
 use milletwing_tidings::{frame, Answer, Ask, Down, Peer};
 use milletwing_verity::{cap, pace, Move, Report, Tally, LAST};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -25,6 +25,8 @@
 const QUEUE: usize = 64;
 /// Silence after which a member that is one too many is taken out.
 const REPLACED: Time = 4_000;
+/// After an edge came, or came back, others are expected for so long.
+const GROWING: Time = 3_000;
 /// Members at most.
 const MOST_MEMBERS: usize = 9;
 /// Entries, and bytes of them, kept for edges that resume.
@@ -74,6 +76,9 @@
     members: Vec<Id>,
     /// Trials under way, as this machine judges them while it leads.
     trials: BTreeMap<u64, Judged>,
+    /// Edges that took traffic when last looked at, and when one was new among them; at a start, that moment.
+    ready: BTreeSet<u32>,
+    grown: Time,
     /// When this machine folded the newest order to empty a zone.
     emptied: BTreeMap<String, Time>,
     /// Since when a zone waits for its other order to be taken back.
@@ -135,6 +140,8 @@
             reverted: BTreeMap::new(),
             lingers: BTreeMap::new(),
             emptied: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            grown: 1,
         })))
     }
 
@@ -409,6 +416,11 @@
     }
 
     fn sweep(&mut self, now: Time) {
+        let ready: BTreeSet<u32> = self.registry.ready(now).iter().map(|edge| edge.id).collect();
+        if !ready.is_subset(&self.ready) {
+            self.grown = now;
+        }
+        self.ready = ready;
         let silence = (self.settings.provider.report_s * 3_000.0) as Time + 1_000;
         if self.role == Role::Leader {
             let mut commands = self.registry.sweep(now, &self.view, silence, &Core::cold_for(&self.view));
@@ -767,6 +779,18 @@
         Down::Pulse { fresh, index: self.view.index, cores, edges: self.registry.ready(now).len() as u32 }
     }
 
+    /// Seconds for which a client may hold a resolution: as long as allowed, since a look-up at a machine without power costs
+    /// its client a second, while an address that no longer serves costs it a connection that is refused. But while edges
+    /// come back one after the other, only shortly: else all clients stay with the few that were first.
+    pub fn hold_s(&self) -> f64 {
+        let most = self.settings.timers.guarantees.ttl_max_s;
+        if self.now() < self.grown + GROWING {
+            most.min(1.0)
+        } else {
+            most
+        }
+    }
+
     /// Edges' addresses for a client of this region: those that take traffic there, or anywhere.
     pub fn resolve(&self, region: &str) -> Vec<String> {
         let now = self.now();
--- a/crates/steward/src/front.rs
+++ b/crates/steward/src/front.rs
@@ -308,9 +308,7 @@
     if addresses.is_empty() {
         return refuse(503, "no edge is known");
     }
-    // As long as allowed: a look-up at a machine without power costs its client a second, while an address that no longer
-    // serves costs it a connection that is refused.
-    let ttl = core.settings.timers.guarantees.ttl_max_s;
+    let ttl = core.hold_s();
     reply(200, json!({ "addresses": addresses, "ttlS": ttl }).to_string())
 }
 
