Time-outs of a version on trial count when they happen; a core machine that lags tells so

Its slow answers came 0.5 s after the fast ones, and those of repeatable requests never: after 0.26 s a second marshal was asked and the first sending was dropped without an outcome. Looks rested on the fast answers alone. Its core machine was cut off one way at 15.2 s: the leader's calls still came, entries did not, and it went on telling that it hears its leader until 18.64 s. Ruled out: (1) the caps (each kept), the tally; (2) the edge (it left within 0.7 s of being told), the leader. Change: (1) a sending that this edge no longer waits for, or that is beyond its aim, scores 1 at that moment, and once; (2) a follower whose leader tells of entries that do not come is stale after 0.35 s; stale cores are left after 0.6 s.

--- a/crates/accord/src/member.rs
+++ b/crates/accord/src/member.rs
@@ -166,6 +166,8 @@
     applied: u64,
     role: Role,
     leader: Option<Id>,
+    /// Since when the leader has told of committed entries that have not come.
+    behind: Option<Time>,
     /// When a leader was heard of last, and when to ask for votes.
     heard: Time,
     deadline: Time,
@@ -216,6 +218,7 @@
             log,
             role: Role::Follower,
             leader: None,
+            behind: None,
             heard: 0,
             deadline: 0,
             votes: BTreeSet::new(),
@@ -297,7 +300,12 @@
     pub fn fresh(&self, now: Time, within: Time) -> bool {
         match self.role {
             Role::Leader => self.backed(now, within),
-            _ => self.leader.is_some() && now.saturating_sub(self.heard) <= within,
+            // Guards against one that hears its leader and gets nothing: calls are short, entries long, and its word may not
+            // reach the leader, so that these are not sent again.
+            _ => {
+                let lags = self.behind.is_some_and(|since| now.saturating_sub(since) > within / 2);
+                self.leader.is_some() && now.saturating_sub(self.heard) <= within && !lags
+            }
         }
     }
     /// When each peer was heard last, as far as this machine leads.
@@ -621,6 +629,7 @@
             Message::Append { term, before, entries, commit, round } => {
                 if self.heed(now, from, term, round) {
                     self.take(from, before, entries, commit, round);
+                    self.behind = (commit > self.commit).then(|| self.behind.unwrap_or(now));
                 }
             }
             Message::Install { term, last, members, offset, part, total, sum, round } => {
--- a/crates/accord/tests/lines.rs
+++ b/crates/accord/tests/lines.rs
@@ -216,3 +216,22 @@
         "{said:?}"
     );
 }
+
+/// Its leader's calls come, the entries that these tell of do not: what it tells others is stale.
+#[test]
+fn one_that_hears_its_leader_and_gets_nothing_is_stale() {
+    let mut member = founder(2);
+    settle(&mut member, 0);
+    let call = |commit| Message::Append { term: 2, before: (1, 1), entries: Vec::new(), commit, round: 0 };
+    for now in (100..2_000).step_by(100) {
+        member.step(now, 1, call(1));
+        assert!(member.fresh(now, 700));
+    }
+    for now in (2_000..4_000).step_by(100) {
+        member.step(now, 1, call(3));
+        assert_eq!(member.fresh(now, 700), now < 2_400, "at {now}");
+    }
+    let entries = (2..=3).map(|index| Entry { term: 2, index, payload: Payload::Data(Vec::new()) }).collect();
+    member.step(4_000, 1, Message::Append { term: 2, before: (1, 1), entries, commit: 3, round: 0 });
+    assert!(member.fresh(4_000, 700));
+}
--- a/crates/carrier/src/feed.rs
+++ b/crates/carrier/src/feed.rs
@@ -21,7 +21,7 @@
 /// A core machine that says nothing for so long is left; its pulse comes five times a second.
 const SILENCE: Duration = Duration::from_millis(900);
 /// One that doesn't hear its leader for so long is left.
-const STALE: Duration = Duration::from_millis(800);
+const STALE: Duration = Duration::from_millis(600);
 
 /// Follows one core machine after the other.
 pub async fn follow(edge: Rc<Edge>) {
--- a/crates/carrier/src/relay.rs
+++ b/crates/carrier/src/relay.rs
@@ -151,6 +151,7 @@
     let mut hedge = std::pin::pin!(hedge);
     let mut hedging = patience.is_some() && source.again();
     let mut running = FuturesUnordered::new();
+    let waiting = first.clone();
     running.push(send(edge, &parts, &mut source, first, ticket.deadline, &id));
     loop {
         tokio::select! {
@@ -197,6 +198,7 @@
             }
             _ = hedge.as_mut(), if hedging => {
                 hedging = false;
+                edge.course.borrow_mut().impatient(edge.now(), &waiting);
                 let next = edge.course.borrow_mut().pick(edge.now(), &mut ticket);
                 if let Ok(next) = next {
                     running.push(send(edge, &parts, &mut source, next, ticket.deadline, &id));
--- a/crates/course/src/course.rs
+++ b/crates/course/src/course.rs
@@ -7,7 +7,7 @@
 use crate::budget::Budget;
 use crate::marshal::{Load, Marshal, Reach, Result as Ended};
 use crate::table::{Route, Table};
-use crate::trial::Trial;
+use crate::trial::{Out, Trial};
 use crate::Time;
 use ahash::RandomState;
 use hashbrown::HashMap;
@@ -69,8 +69,9 @@
     pub at: Time,
     /// Connections that this edge may hold to it.
     pub connections: usize,
-    /// The covariate, fixed before the send.
-    covariate: f64,
+    /// Its number, and its service.
+    number: u64,
+    service: Rc<str>,
 }
 
 #[derive(Debug)]
@@ -117,6 +118,7 @@
     edges: f64,
     /// When the core was heard last.
     heard: Time,
+    sendings: u64,
     chance: Pcg64Mcg,
 }
 
@@ -135,6 +137,7 @@
             weight: HashMap::default(),
             edges: 8.0,
             heard: 0,
+            sendings: 0,
             chance: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -367,9 +370,17 @@
         }
         // All edges together stay under what a marshal accepts; a tenth is for those not heard of yet.
         let connections = (f64::from(service.connections) * 0.9 / (self.edges + 1.0)).max(1.0) as usize;
-        let covariate = service.trial.as_mut().map_or(0.0, |trial| trial.covariate(now, ticket.route.class));
         let Some(marshal) = self.marshals.get_mut(&key) else { return Err(Kind::NoMarshal) };
         marshal.send(now);
+        self.sendings += 1;
+        let number = self.sendings;
+        if let Some(trial) = &mut service.trial {
+            let class = ticket.route.class;
+            let covariate = trial.covariate(now, class);
+            let scored = Trial::gives(marshal.new, now.saturating_sub(marshal.since));
+            let until = now + ticket.route.target;
+            trial.sent(number, Out { class, new: marshal.new, covariate, scored, until, late: false });
+        }
         ticket.tried.push(key);
         ticket.sent += 1;
         Ok(Sending {
@@ -378,7 +389,8 @@
             address: marshal.address,
             at: now,
             connections,
-            covariate,
+            number,
+            service: Rc::clone(&ticket.service),
         })
     }
 
@@ -416,17 +428,24 @@
             Ended::Failed | Ended::Broken | Ended::Silent => Some(true),
             _ => None,
         };
-        if let (Some(bad), Some(service)) = (bad, self.services.get_mut(&ticket.service)) {
-            if let Some(trial) = &mut service.trial {
-                let known = sending.at.saturating_sub(marshal.since);
-                trial.outcome(now, ticket.route.class, marshal.new, bad, sending.covariate, known);
-            }
+        if let Some(trial) = self.services.get_mut(&sending.service).and_then(|it| it.trial.as_mut()) {
+            trial.ended(now, sending.number, bad);
         }
         marshal.end(now, result, took, load)
     }
 
+    /// A sending waits longer than this edge waits for one.
+    pub fn impatient(&mut self, now: Time, sending: &Sending) {
+        if let Some(trial) = self.services.get_mut(&sending.service).and_then(|it| it.trial.as_mut()) {
+            trial.timed_out(now, sending.number);
+        }
+    }
+
     /// A client left while a sending was out.
     pub fn dropped(&mut self, now: Time, sending: &Sending) {
+        if let Some(trial) = self.services.get_mut(&sending.service).and_then(|it| it.trial.as_mut()) {
+            trial.ended(now, sending.number, None);
+        }
         if let Some(marshal) = self.marshals.get_mut(&sending.marshal) {
             marshal.end(now, Ended::Dropped, 0, None);
         }
--- a/crates/course/src/trial.rs
+++ b/crates/course/src/trial.rs
@@ -3,6 +3,7 @@
 
 use crate::budget::Budget;
 use crate::Time;
+use hashbrown::HashMap;
 use milletwing_ledger::RollOut;
 use milletwing_tenet::configuration::Class;
 use milletwing_verity::{
@@ -24,9 +25,28 @@
     }
 }
 
+/// A sending that is out.
+#[derive(Debug)]
+pub struct Out {
+    /// What may be done with its request.
+    pub class: Class,
+    /// To the new version.
+    pub new: bool,
+    /// Fixed before the send.
+    pub covariate: f64,
+    /// Its marshal gives evidence already.
+    pub scored: bool,
+    /// When it counts as timed out: the aim is missed.
+    pub until: Time,
+    /// It has been counted as timed out.
+    pub late: bool,
+}
+
 /// One trial.
 #[derive(Debug)]
 pub struct Trial {
+    /// Sendings that are out, by number.
+    out: HashMap<u64, Out>,
     /// Its number.
     pub number: u64,
     /// Its stage.
@@ -50,6 +70,7 @@
     /// One that this edge hears of now.
     pub fn new(now: Time, roll: &RollOut) -> Trial {
         Trial {
+            out: HashMap::new(),
             number: roll.number,
             stage: roll.stage,
             since: now,
@@ -101,8 +122,31 @@
         lane.iter().map(|(_, score)| score).sum::<f64>() / (lane.len() as f64).max(1.0)
     }
 
-    /// An outcome: of the new version or the earlier one, from a marshal known for so long.
-    pub fn outcome(&mut self, now: Time, class: Class, new: bool, bad: bool, covariate: f64, known: Time) {
+    /// A sending goes out.
+    pub fn sent(&mut self, number: u64, out: Out) {
+        self.out.insert(number, out);
+    }
+
+    /// A sending has waited longer than this edge waits for one, or is beyond its aim: a time-out, which scores 1 now. Guards
+    /// against a slow version whose slow answers come when all has been decided, or never, since another was faster.
+    pub fn timed_out(&mut self, now: Time, number: u64) {
+        if let Some(out) = self.out.get_mut(&number).filter(|out| !out.late) {
+            out.late = true;
+            let (class, new, covariate, scored) = (out.class, out.new, out.covariate, out.scored);
+            self.outcome(now, class, new, true, covariate, scored);
+        }
+    }
+
+    /// A sending ended; `bad`: nothing where its end is no outcome.
+    pub fn ended(&mut self, now: Time, number: u64, bad: Option<bool>) {
+        let Some(out) = self.out.remove(&number) else { return };
+        let bad = bad.or((now >= out.until).then_some(true));
+        if let (Some(bad), false) = (bad, out.late) {
+            self.outcome(now, out.class, out.new, bad, out.covariate, out.scored);
+        }
+    }
+
+    fn outcome(&mut self, now: Time, class: Class, new: bool, bad: bool, covariate: f64, scored: bool) {
         let score = f64::from(u8::from(bad));
         let class = place(class);
         if !new {
@@ -112,13 +156,25 @@
                 lane.pop_front();
             }
         }
-        if !new || known >= UNSCORED {
+        if !new || scored {
             self.sums[class][usize::from(new)].add(score, covariate);
         }
     }
 
+    /// Whether a marshal known for so long gives evidence.
+    pub fn gives(new: bool, known: Time) -> bool {
+        !new || known >= UNSCORED
+    }
+
     /// What the core is told, with this edge's vote.
     pub fn report(&mut self, now: Time, service: &str) -> Report {
+        let due: Vec<u64> = self
+            .out
+            .iter()
+            .filter(|(_, out)| !out.late && now >= out.until)
+            .map(|(number, _)| *number)
+            .collect();
+        due.into_iter().for_each(|number| self.timed_out(now, number));
         let clock = clock(self.stage, self.since, self.started, self.pace);
         let vote: Option<Vote> = self.watch.judge(now, &self.sums, &self.counts, clock, self.pace);
         Report {
--- a/crates/course/tests/decisions.rs
+++ b/crates/course/tests/decisions.rs
@@ -305,3 +305,60 @@
     let report = &edges[0].reports(12_000)[0];
     assert!(report.sums[0][1].n > 0.0 && report.sums[1][1].n == 0.0);
 }
+
+/// A slow version's answers come when all has been decided, or never, since another was faster: its time-outs count when
+/// they happen, and once.
+#[test]
+fn a_slow_version_is_judged_by_its_time_outs() {
+    let mut view = view(4);
+    view.apply(100, &Command::RollOut { service: "s".into(), revision: "v22".into(), period_ms: 15_000 });
+    for at in 0..4 {
+        view.apply(101 + at as u64, &Command::NodeUp(node(at, "v22", Phase::Warm)));
+    }
+    let mut course = edge(1, &view, 1, 1);
+    let mut out = Vec::new();
+    for now in 4_000..6_000 {
+        course.heard(now);
+        let mut ticket = arrive(&mut course, now, "/look/x");
+        let sending = course.pick(now, &mut ticket).unwrap();
+        if sending.id.starts_with("i-v22") {
+            out.push((ticket, sending));
+        } else {
+            course.ended(now, &mut ticket, &sending, Ended::Served, None);
+        }
+    }
+    assert!(out.len() > 30, "{}", out.len());
+    let bad = |now: Time, course: &mut Course| {
+        (course.reports(now)[0].sums[0][1].n, course.reports(now)[0].sums[0][1].y)
+    };
+    // Beyond the aim all of them count, though none has ended.
+    let all = out.len() as f64;
+    assert_eq!(bad(6_300, &mut course), (all, all));
+    // However they end, they count once.
+    for (at, (mut ticket, sending)) in out.into_iter().enumerate() {
+        match at % 3 {
+            0 => course.dropped(6_400, &sending),
+            1 => drop(course.ended(6_400, &mut ticket, &sending, Ended::Served, None)),
+            _ => drop(course.ended(6_400, &mut ticket, &sending, Ended::Silent, None)),
+        }
+    }
+    assert_eq!(bad(6_500, &mut course), (all, all));
+    // One that this edge no longer waits for counts at once; a client that leaves early tells nothing.
+    let mut count = 0;
+    for now in 7_000..9_000 {
+        course.heard(now);
+        let mut ticket = arrive(&mut course, now, "/look/x");
+        let sending = course.pick(now, &mut ticket).unwrap();
+        if sending.id.starts_with("i-v22") {
+            if now % 2 == 0 {
+                course.impatient(now, &sending);
+                count += 1;
+            }
+            course.dropped(now, &sending);
+        } else {
+            course.ended(now, &mut ticket, &sending, Ended::Served, None);
+        }
+    }
+    assert!(count > 0);
+    assert_eq!(bad(9_000, &mut course), (all + f64::from(count), all + f64::from(count)));
+}
--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -25,6 +25,8 @@
 const QUEUE: usize = 64;
 /// Silence after which a member that is one too many is taken out.
 const REPLACED: Time = 4_000;
+/// A leader that was not heard for so long, or entries that lack for half of it, make this machine's word stale.
+const FRESH: Time = 700;
 /// After an edge came, or came back, others are expected for so long.
 const GROWING: Time = 3_000;
 /// Members at most.
@@ -775,7 +777,7 @@
         if cores.is_empty() {
             cores.push(self.settings.id());
         }
-        let fresh = self.member.fresh(now, 1_000) && !self.member.lost();
+        let fresh = self.member.fresh(now, FRESH) && !self.member.lost();
         Down::Pulse { fresh, index: self.view.index, cores, edges: self.registry.ready(now).len() as u32 }
     }
 
@@ -795,7 +797,7 @@
     pub fn resolve(&self, region: &str) -> Vec<String> {
         let now = self.now();
         // One that is cut off keeps what it last knew.
-        let reach = if self.member.fresh(now, 1_000) { 1_500 } else { 30_000 };
+        let reach = if self.member.fresh(now, FRESH) { 1_500 } else { 30_000 };
         let all: Vec<&Heard> = self
             .registry
             .edges(now)
