The test of a stop under load begins once the marshal knows its node

Cause: under a loaded machine crates/milletwing/tests/program.rs failed with 'c1-0: 503': its first requests came before the marshal had read its list, which it refuses, rightly. Change: the test waits for a first answer.

--- a/crates/milletwing/tests/program.rs
+++ b/crates/milletwing/tests/program.rs
@@ -214,6 +214,12 @@
     });
     let node = node.unwrap();
     let running = Running::start(name, node.addr);
+    // A marshal that has not read its list yet refuses, rightly; what is judged here begins after that.
+    let first = AtomicU64::new(0);
+    until("the node is known", || {
+        let id = format!("first-{}", first.fetch_add(1, SeqCst));
+        status(running.listen, &ask(&id)).as_deref() == Some("200")
+    });
     let (seen, no_more) = (Seen::default(), Mutex::new(None));
     std::thread::scope(|scope| {
         for who in 0..8 {
