Settings are watched, and bodies polled, by one piece of code each

Cause: edge and core had the same loop over the settings file; requests' and answers' bodies the same steps.

--- a/crates/carrier/src/body.rs
+++ b/crates/carrier/src/body.rs
@@ -83,23 +83,16 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         match &mut *self {
             Carry::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Carry::Stream { head, rest, room } => {
-                if let Some(bytes) = head.pop_front() {
-                    return Poll::Ready(Some(Ok(Frame::data(bytes))));
+            Carry::Stream { head, rest, room } => match next(head, rest, context) {
+                Poll::Ready(Some(Ok(frame))) => {
+                    *room = match room.checked_sub(frame.data_ref().map_or(0, |data| data.len() as u64)) {
+                        Some(room) => room,
+                        None => return Poll::Ready(Some(Err(Cut::TooLarge))),
+                    };
+                    Poll::Ready(Some(Ok(frame)))
                 }
-                match Pin::new(rest).poll_frame(context) {
-                    Poll::Ready(Some(Ok(frame))) => {
-                        *room = match room.checked_sub(frame.data_ref().map_or(0, |data| data.len() as u64)) {
-                            Some(room) => room,
-                            None => return Poll::Ready(Some(Err(Cut::TooLarge))),
-                        };
-                        Poll::Ready(Some(Ok(frame)))
-                    }
-                    Poll::Ready(Some(Err(_))) => Poll::Ready(Some(Err(Cut::Broken))),
-                    Poll::Ready(None) => Poll::Ready(None),
-                    Poll::Pending => Poll::Pending,
-                }
-            }
+                other => other,
+            },
         }
     }
 
@@ -118,6 +111,18 @@
     }
 }
 
+/// What was gathered, then what goes on coming.
+fn next(
+    head: &mut VecDeque<Bytes>,
+    rest: &mut Incoming,
+    context: &mut Context<'_>,
+) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+    match head.pop_front() {
+        Some(bytes) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+        None => Pin::new(rest).poll_frame(context).map_err(|_| Cut::Broken),
+    }
+}
+
 fn longer(rest: SizeHint, head: &VecDeque<Bytes>) -> SizeHint {
     let before: u64 = head.iter().map(|bytes| bytes.len() as u64).sum();
     match rest.exact() {
@@ -176,22 +181,15 @@
         match &mut *self {
             Out::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Out::Stream(stream) => {
-                if let Some(bytes) = stream.head.pop_front() {
-                    return Poll::Ready(Some(Ok(Frame::data(bytes))));
-                }
-                match Pin::new(&mut stream.rest).poll_frame(context) {
-                    Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
-                    Poll::Ready(Some(Err(_))) => {
-                        // The client's connection is cut as well: an answer that ends early must not look whole.
-                        stream.end(false);
-                        Poll::Ready(Some(Err(Cut::Broken)))
-                    }
-                    Poll::Ready(None) => {
-                        stream.end(true);
-                        Poll::Ready(None)
-                    }
-                    Poll::Pending => Poll::Pending,
+                let Streamed { head, rest, .. } = stream.as_mut();
+                let polled = next(head, rest, context);
+                match &polled {
+                    // The client's connection is cut as well: an answer that ends early must not look whole.
+                    Poll::Ready(Some(Err(_))) => stream.end(false),
+                    Poll::Ready(None) => stream.end(true),
+                    _ => {}
                 }
+                polled
             }
         }
     }
--- a/crates/carrier/src/feed.rs
+++ b/crates/carrier/src/feed.rs
@@ -3,7 +3,7 @@
 
 use crate::edge::Edge;
 use milletwing_ledger::{Command, View};
-use milletwing_tenet::{tell, Settings};
+use milletwing_tenet::tell;
 use milletwing_tidings::{self as tidings, frame, place, Down, Greeting, Up};
 use std::cell::Cell;
 use std::net::SocketAddrV4;
@@ -180,21 +180,5 @@
 
 /// Reads the settings again whenever the file changes.
 pub async fn watch(edge: Rc<Edge>, path: PathBuf) {
-    let mut before = std::fs::read_to_string(&path).ok();
-    loop {
-        tokio::time::sleep(Duration::from_secs(1)).await;
-        let text = std::fs::read_to_string(&path).ok();
-        if text == before {
-            continue;
-        }
-        match text.as_deref().map(Settings::read) {
-            Some(Ok(settings)) => {
-                *edge.settings.borrow_mut() = settings;
-                tell!(SettingsRead, "{}", path.display());
-            }
-            Some(Err(problem)) => tell!(BadSettings, "{}: {problem}; the earlier ones stay", path.display()),
-            None => tell!(BadSettings, "{}: it can't be read; the earlier ones stay", path.display()),
-        }
-        before = text;
-    }
+    tidings::watch(path, |settings| *edge.settings.borrow_mut() = settings).await;
 }
--- a/crates/carrier/src/relay.rs
+++ b/crates/carrier/src/relay.rs
@@ -140,7 +140,7 @@
     }
     let mut source = match gathered {
         Gathered { head, rest: None } => Source::Whole(join(head)),
-        Gathered { head, rest: Some(rest) } => Source::Once(Some((head, rest, most_body - sized))),
+        Gathered { head, rest: Some(rest) } => Source::Once(Some((head, rest, most_body))),
     };
     let first =
         edge.course.borrow_mut().pick(edge.now(), &mut ticket).map_err(|kind| refuse(kind, Some(&route)))?;
--- a/crates/helm/tests/whole.rs
+++ b/crates/helm/tests/whole.rs
@@ -287,6 +287,12 @@
         ask(&request("POST", "/order/a", "id-2", chunked, "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")).unwrap();
     assert_eq!((status, said.as_str()), (200, "/order/a POST abcde"));
 
+    // More than is gathered streams, in both directions.
+    let large = "y".repeat(60_000);
+    let length = format!("Content-Length: {}\r\n", large.len());
+    let (status, _, said) = ask(&request("POST", "/order/large", "id-large", &length, &large)).unwrap();
+    assert_eq!((status, said.len()), (200, "/order/large POST ".len() + large.len()));
+
     // What is no request, or goes nowhere, never reaches a marshal.
     let both = request(
         "POST",
@@ -318,7 +324,7 @@
     assert!(!String::from_utf8_lossy(&rest).contains(" 200 "));
     let ran: Vec<String> =
         runs.lock().unwrap().keys().filter(|id| !id.starts_with("ready")).cloned().collect();
-    assert_eq!(ran, ["id-1", "id-2"]);
+    assert_eq!(ran, ["id-1", "id-2", "id-large"]);
 }
 
 #[test]
--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -828,23 +828,10 @@
 
 /// Reads the settings again whenever the file changes: other seeds are other machines to ask.
 pub async fn watch(core: Shared, path: PathBuf) {
-    let mut before = std::fs::read_to_string(&path).ok();
-    loop {
-        tokio::time::sleep(Duration::from_secs(1)).await;
-        let text = std::fs::read_to_string(&path).ok();
-        if text == before {
-            continue;
-        }
-        match text.as_deref().map(Settings::read) {
-            Some(Ok(settings)) => {
-                let core = &mut *core.borrow_mut();
-                settings.seeds().into_iter().for_each(|id| core.meet(id));
-                core.settings.timers = settings.timers;
-                tell!(SettingsRead, "{}", path.display());
-            }
-            Some(Err(problem)) => tell!(BadSettings, "{}: {problem}; the earlier ones stay", path.display()),
-            None => tell!(BadSettings, "{}: it can't be read; the earlier ones stay", path.display()),
-        }
-        before = text;
-    }
+    let take = |settings: Settings| {
+        let core = &mut *core.borrow_mut();
+        settings.seeds().into_iter().for_each(|id| core.meet(id));
+        core.settings.timers = settings.timers;
+    };
+    milletwing_tidings::watch(path, take).await;
 }
--- a/crates/tidings/src/lib.rs
+++ b/crates/tidings/src/lib.rs
@@ -3,11 +3,13 @@
 
 use milletwing_accord::{Id, Message};
 use milletwing_ledger::{Beat, Command, Heard};
+use milletwing_tenet::{tell, Settings};
 use milletwing_verity::Report;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::io::{Error, ErrorKind};
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -144,3 +146,25 @@
     to.write_all(frame).await?;
     to.flush().await
 }
+
+/// Looks at the settings file once a second, and hands it over whenever it has changed, with a signal or without one. One
+/// that is missing or can't be read changes nothing.
+pub async fn watch(path: PathBuf, mut take: impl FnMut(Settings)) {
+    let mut before = std::fs::read_to_string(&path).ok();
+    loop {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let text = std::fs::read_to_string(&path).ok();
+        if text == before {
+            continue;
+        }
+        match text.as_deref().map(Settings::read) {
+            Some(Ok(settings)) => {
+                take(settings);
+                tell!(SettingsRead, "{}", path.display());
+            }
+            Some(Err(problem)) => tell!(BadSettings, "{}: {problem}; the earlier ones stay", path.display()),
+            None => tell!(BadSettings, "{}: it can't be read; the earlier ones stay", path.display()),
+        }
+        before = text;
+    }
+}
