A proposal made while a batch is being ended waits for its end

Cause: crates/group, test drawn_faults_break_nothing failed once in some ten runs: the library panicked, 'not leader but has new msg after advance'. What is applied at the end of a batch may propose; an instance that has just lost the lead passes that on to the leader, and the library forbids messages there. Ruled out: the types that moved to accord (no code of this path), the machine's load (the library's own chance decides). Change: such proposals wait until the batch has ended. The test that found it is the one that guards it, by chance; no surer one yet.

--- a/crates/group/src/member.rs
+++ b/crates/group/src/member.rs
@@ -106,6 +106,9 @@
     calls: Calls,
     out: Vec<Output>,
     ready: Option<raft::Ready>,
+    /// A batch is being ended; what is proposed meanwhile waits.
+    ending: bool,
+    later: Vec<Vec<u8>>,
     /// Until then it lends its vote to nobody: it may have promised a leader to listen before it was restarted.
     quiet: Time,
     ticked: Time,
@@ -207,6 +210,8 @@
             calls,
             out: Vec::new(),
             ready: None,
+            ending: false,
+            later: Vec::new(),
             quiet,
             ticked: now,
             led: None,
@@ -282,6 +287,12 @@
     }
 
     fn propose(&mut self, command: &Command) {
+        // Guards against a message of the library's between a batch and its end: one that has just lost the lead would pass the
+        // proposal on, and the library panics at that.
+        if self.ending {
+            self.later.push(encode(command));
+            return;
+        }
         // Dropped where nobody leads; whatever matters is proposed again.
         let _ = self.raft.propose(Vec::new(), encode(command));
     }
@@ -660,7 +671,19 @@
 
     /// The last batch is on the disk. Gives a further one where a snapshot of our own was taken.
     pub fn written(&mut self, now: Time) -> Result<Option<Batch>, String> {
-        let Some(mut ready) = self.ready.take() else { return Ok(None) };
+        let Some(ready) = self.ready.take() else { return Ok(None) };
+        self.ending = true;
+        let ended = self.end(now, ready);
+        self.ending = false;
+        for command in std::mem::take(&mut self.later) {
+            let _ = self.raft.propose(Vec::new(), command);
+        }
+        ended?;
+        self.role(now);
+        Ok(self.compact())
+    }
+
+    fn end(&mut self, now: Time, mut ready: raft::Ready) -> Result<(), String> {
         if ready.snapshot().get_metadata().index > 0 {
             let snapshot = ready.snapshot().clone();
             self.record = decode(snapshot.get_data())?;
@@ -686,8 +709,7 @@
         let committed = light.take_committed_entries();
         self.apply(now, committed)?;
         self.raft.advance_apply();
-        self.role(now);
-        Ok(self.compact())
+        Ok(())
     }
 
     fn send(&mut self, messages: Vec<Message>) {
