--- a/crates/carrier/src/body.rs
+++ b/crates/carrier/src/body.rs
@@ -1,17 +1,13 @@
-//! What flows through: a request's body towards a marshal, an answer's towards a client. A little is gathered, so that a
-//! request can be sent again and a short answer is known to be whole; the rest streams, at the pace of whoever is slower.
+//! What flows through: bodies, of which a little is gathered, so that a request can be sent again and a short answer is known
+//! to be whole; the rest streams, at the pace of whoever is slower. Here a request's towards a marshal.
 
-use crate::edge::Edge;
-use crate::pool::Lease;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::collections::VecDeque;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 /// Bytes that are gathered before anything is sent on.
 pub const GATHER: usize = 16 << 10;
@@ -112,7 +108,7 @@
 }
 
 /// What was gathered, then what goes on coming.
-fn next(
+pub fn next(
     head: &mut VecDeque<Bytes>,
     rest: &mut Incoming,
     context: &mut Context<'_>,
@@ -123,88 +119,11 @@
     }
 }
 
-fn longer(rest: SizeHint, head: &VecDeque<Bytes>) -> SizeHint {
+/// The size of what goes on coming, and of what was gathered before it.
+pub fn longer(rest: SizeHint, head: &VecDeque<Bytes>) -> SizeHint {
     let before: u64 = head.iter().map(|bytes| bytes.len() as u64).sum();
     match rest.exact() {
         Some(exact) => SizeHint::with_exact(exact + before),
         None => SizeHint::default(),
     }
 }
-
-/// What is reported when a streamed answer has ended.
-pub type AtEnd = Box<dyn FnOnce(bool)>;
-
-/// An answer's body towards a client.
-pub enum Out {
-    /// All of it is here.
-    Whole(Option<Bytes>),
-    /// It goes on as it comes.
-    Stream(Box<Streamed>),
-}
-
-/// A streamed answer, with the connection that it comes on.
-pub struct Streamed {
-    pub head: VecDeque<Bytes>,
-    pub rest: Incoming,
-    pub lease: Option<Lease>,
-    pub keep: Option<Duration>,
-    pub edge: Rc<Edge>,
-    pub at_end: Option<AtEnd>,
-}
-
-impl Streamed {
-    fn end(&mut self, whole: bool) {
-        if let Some(lease) = self.lease.take().filter(|_| whole) {
-            self.edge.pool.give_back(lease, self.keep);
-        }
-        if let Some(at_end) = self.at_end.take() {
-            at_end(whole);
-        }
-    }
-}
-
-impl Drop for Streamed {
-    fn drop(&mut self) {
-        let whole = self.rest.is_end_stream() && self.head.is_empty();
-        self.end(whole);
-    }
-}
-
-impl Body for Out {
-    type Data = Bytes;
-    type Error = Cut;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        match &mut *self {
-            Out::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Out::Stream(stream) => {
-                let Streamed { head, rest, .. } = stream.as_mut();
-                let polled = next(head, rest, context);
-                match &polled {
-                    // The client's connection is cut as well: an answer that ends early must not look whole.
-                    Poll::Ready(Some(Err(_))) => stream.end(false),
-                    Poll::Ready(None) => stream.end(true),
-                    _ => {}
-                }
-                polled
-            }
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            Out::Whole(bytes) => bytes.is_none(),
-            Out::Stream(stream) => stream.head.is_empty() && stream.rest.is_end_stream(),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Out::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64)),
-            Out::Stream(stream) => longer(stream.rest.size_hint(), &stream.head),
-        }
-    }
-}
--- a/crates/carrier/src/front.rs
+++ b/crates/carrier/src/front.rs
@@ -1,18 +1,21 @@
 //! Clients' connections, and the platform's question whether this edge is ready.
 
-use crate::body::Out;
+use crate::body::Cut;
 use crate::edge::Edge;
+use crate::out::Out;
 use crate::relay;
+use crate::watched::{At, Notes, Watched};
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Clients' connections for each descriptor that the machine grants: the others are for marshals.
@@ -23,71 +26,37 @@
 const HEAD: (usize, usize) = (16 << 10, 256 << 10);
 /// What a client that takes nothing is given up after.
 const PATIENCE: Duration = Duration::from_secs(10);
+/// Clients are told to use an idle connection again within two seconds, since it costs memory until it closes. A second
+/// later it does, so that a request already on its way is still taken.
+const KEEP: (&str, Duration) = ("timeout=2", Duration::from_secs(3));
 
-/// A client's connection, and what was noticed of the bytes that came.
-pub struct Watched {
-    stream: TcpStream,
-    /// A `Content-Length` came since the last request: beside a `Transfer-Encoding`, nobody can say where it ends.
-    length: Rc<Cell<bool>>,
-    tail: Vec<u8>,
+/// An answer's body; once it is gone the connection waits for the next head.
+struct Until {
+    out: Out,
+    notes: Rc<Notes>,
 }
 
-const LENGTH: &[u8] = b"content-length";
-
-impl Watched {
-    fn notice(&mut self, bytes: &[u8]) {
-        self.tail.extend_from_slice(bytes);
-        let found = memchr::memchr_iter(b'-', &self.tail).any(|at| {
-            at.checked_sub(7)
-                .and_then(|from| self.tail.get(from..from + LENGTH.len()))
-                .is_some_and(|word| word.eq_ignore_ascii_case(LENGTH))
-        });
-        if found {
-            self.length.set(true);
-        }
-        let keep = if found { 0 } else { (LENGTH.len() - 1).min(self.tail.len()) };
-        self.tail.drain(..self.tail.len() - keep);
+impl Drop for Until {
+    fn drop(&mut self) {
+        self.notes.at.set(At::Idle);
     }
 }
 
-impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if polled.is_ready() {
-            self.notice(buffer.filled().get(before..).unwrap_or_default());
-        }
-        polled
-    }
-}
+impl Body for Until {
+    type Data = Bytes;
+    type Error = Cut;
 
-impl AsyncWrite for Watched {
-    fn poll_write(
+    fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        Pin::new(&mut self.out).poll_frame(context)
     }
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn is_end_stream(&self) -> bool {
+        self.out.is_end_stream()
     }
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[std::io::IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
-    }
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+    fn size_hint(&self) -> SizeHint {
+        self.out.size_hint()
     }
 }
 
@@ -119,23 +88,35 @@
 }
 
 async fn connection(edge: Rc<Edge>, stream: TcpStream, counted: Counted) {
-    let length = Rc::new(Cell::new(false));
-    let watched = Watched { stream, length: Rc::clone(&length), tail: Vec::new() };
-    let (idle, head) = {
+    let (idle, guard, head) = {
         let course = edge.course.borrow();
         let thresholds = course.configuration().and_then(|it| it.thresholds.as_ref());
         let head = thresholds.map_or(HEAD.0, |it| it.max_header_bytes as usize);
-        (thresholds.map_or(15.0, |it| it.idle_guard_s).clamp(1.0, 600.0), head.clamp(HEAD.0, HEAD.1))
+        let idle = thresholds.map_or(15.0, |it| it.idle_guard_s).clamp(1.0, KEEP.1.as_secs_f64());
+        let guard = thresholds.map_or(3.0, |it| it.header_guard_s).clamp(0.5, 600.0);
+        (Duration::from_secs_f64(idle), Duration::from_secs_f64(guard), head.clamp(HEAD.0, HEAD.1))
     };
+    let notes = Notes::new();
+    let watched = Watched::new(stream, Rc::clone(&notes), idle, guard);
     let serving = Rc::clone(&edge);
     let service = service_fn(move |request| {
-        let (edge, both) = (Rc::clone(&serving), length.replace(false));
+        let (edge, notes) = (Rc::clone(&serving), Rc::clone(&notes));
+        notes.at.set(At::Request);
         // On the heap: a connection that waits holds a pointer, not room for a whole request's states.
-        Box::pin(async move { Ok::<_, Infallible>(relay::answer(edge, request, both).await) })
+        Box::pin(async move {
+            let mut answer = relay::answer(edge, request, &notes).await;
+            // Not where the operator's `idleGuardS` is shorter still, or the connection ends with this answer.
+            if idle >= KEEP.1 && !answer.headers().contains_key(header::CONNECTION) {
+                answer
+                    .headers_mut()
+                    .insert(HeaderName::from_static("keep-alive"), HeaderValue::from_static(KEEP.0));
+            }
+            Ok::<_, Infallible>(answer.map(|out| Until { out, notes }))
+        })
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_secs_f64(idle))
+        .header_read_timeout(idle + guard + Duration::from_secs(1)) // in case `Watched` is not asked
         .max_buf_size(head + ROOM)
         .serve_connection(TokioIo::new(watched), service);
     let mut connection = std::pin::pin!(connection);
--- a/crates/carrier/src/lib.rs
+++ b/crates/carrier/src/lib.rs
@@ -1,12 +1,14 @@
-//! The program of an edge. `front` takes clients' connections, `relay` a request through `course`'s decisions to its
-//! answer, `pool` keeps connections to marshals, `body` what flows through, `feed` follows the core. One thread.
+//! The program of an edge. `front` takes clients' connections, `watched` is one of them, `relay` a request through `course`'s decisions to its
+//! answer, `pool` keeps connections to marshals, `body` and `out` what flows through, `feed` follows the core. One thread.
 
 mod body;
 mod edge;
 mod feed;
 mod front;
+mod out;
 mod pool;
 mod relay;
+mod watched;
 
 use crate::edge::Edge;
 use milletwing_tenet::{tell, Settings};
--- a/crates/carrier/src/relay.rs
+++ b/crates/carrier/src/relay.rs
@@ -1,9 +1,11 @@
 //! One request from its head to its answer. What to do is `course`'s word; here it is done: bytes are sent, answers are
 //! checked, clocks run.
 
-use crate::body::{gather, join, Carry, Cut, Gathered, Out, Streamed};
+use crate::body::{gather, join, Carry, Cut, Gathered};
 use crate::edge::Edge;
+use crate::out::{Out, Streamed};
 use crate::pool::{Lease, NoLease};
+use crate::watched::Notes;
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use hyper::body::{Body, Incoming};
@@ -49,11 +51,11 @@
     }
 }
 
-/// Answers a request. `length`: a `Content-Length` came with it.
-pub async fn answer(edge: Rc<Edge>, request: Request<Incoming>, length: bool) -> Response<Out> {
+/// Answers a request. `notes`: what was noticed of its bytes.
+pub async fn answer(edge: Rc<Edge>, request: Request<Incoming>, notes: &Notes) -> Response<Out> {
     edge.requests.set(edge.requests.get() + 1);
     let counted = Counted(Rc::clone(&edge));
-    let result = relay(&edge, request, length).await;
+    let result = relay(&edge, request, notes).await;
     drop(counted);
     let mut response = match result {
         Ok(response) => response,
@@ -107,12 +109,12 @@
     }
 }
 
-async fn relay(edge: &Rc<Edge>, request: Request<Incoming>, length: bool) -> Result<Response<Out>, Refusal> {
+async fn relay(edge: &Rc<Edge>, request: Request<Incoming>, notes: &Notes) -> Result<Response<Out>, Refusal> {
     let (mut parts, body) = request.into_parts();
     let id = parts.headers.get(ATTEMPT).and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
     let refuse =
         |kind: Kind, route: Option<&Rc<Route>>| Refusal { kind, id: id.clone(), route: route.cloned() };
-    let most_body = check(edge, &parts, &body, length).map_err(|kind| refuse(kind, None))?;
+    let most_body = check(edge, &parts, &body, notes).map_err(|kind| refuse(kind, None))?;
     if edge.requests.get() > MOST {
         return Err(refuse(Kind::Full, None));
     }
@@ -226,8 +228,12 @@
 }
 
 /// Whether a request is one at all, and within bounds. Gives the largest body.
-fn check(edge: &Edge, parts: &Parts, body: &Incoming, length: bool) -> Result<u64, Kind> {
+fn check(edge: &Edge, parts: &Parts, body: &Incoming, notes: &Notes) -> Result<u64, Kind> {
     let bad = |what: &str| Err(Kind::BadRequest(what.into()));
+    let (length, bare) = (notes.length.replace(false), notes.bare.replace(false));
+    if bare {
+        return bad("a line of the head ends without a carriage return");
+    }
     if parts.headers.contains_key(header::TRANSFER_ENCODING) && length {
         return bad("both Content-Length and Transfer-Encoding");
     }
--- /dev/null
+++ b/crates/carrier/src/watched.rs
@@ -0,0 +1,247 @@
+//! A client's connection with what is noticed of the bytes that come: what the library that reads heads doesn't tell, and how
+//! long it has waited for them.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// What a client's connection is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum At {
+    /// Nothing has come since the last answer.
+    Idle,
+    /// A head has begun.
+    Head,
+    /// A request is under way.
+    Request,
+}
+
+/// What was noticed of the bytes that came, for the request that is made of them.
+#[derive(Debug)]
+pub struct Notes {
+    /// A `Content-Length` came since the last request: beside a `Transfer-Encoding`, nobody can say where it ends.
+    pub length: Cell<bool>,
+    /// A line of the head ended without a carriage return: others may see another head in it.
+    pub bare: Cell<bool>,
+    /// What the connection is at.
+    pub at: Cell<At>,
+}
+
+/// A client's connection, and what was noticed of the bytes that came.
+pub struct Watched<S> {
+    stream: S,
+    notes: Rc<Notes>,
+    /// The end of what came, for a name that comes in two parts.
+    tail: Vec<u8>,
+    line: Line,
+    /// How long it may be idle, and how long a head may take; what `due` was set for.
+    bounds: (Duration, Duration),
+    due: Pin<Box<tokio::time::Sleep>>,
+    set: At,
+}
+
+/// Where in a head the last byte was.
+#[derive(Default)]
+struct Line {
+    /// A head is being read, and a line of it had something in it.
+    open: bool,
+    begun: bool,
+    /// Bytes of the line, and the last byte.
+    bytes: usize,
+    last: u8,
+}
+
+impl Line {
+    /// Takes bytes up to the head's end; whether a line ended without a carriage return.
+    fn bare(&mut self, bytes: &[u8]) -> bool {
+        let (mut from, mut bare) = (0, false);
+        for at in memchr::memchr_iter(b'\n', bytes) {
+            if !self.open {
+                return bare;
+            }
+            let before = at.checked_sub(1).and_then(|at| bytes.get(at)).copied().unwrap_or(self.last);
+            let length = self.bytes + (at - from);
+            bare |= before != b'\r';
+            let empty = length == usize::from(before == b'\r');
+            self.begun |= !empty;
+            self.open = !(empty && self.begun);
+            (self.bytes, from) = (0, at + 1);
+        }
+        self.bytes += bytes.len() - from;
+        self.last = bytes.last().copied().unwrap_or(self.last);
+        bare
+    }
+}
+
+const LENGTH: &[u8] = b"content-length";
+
+impl Notes {
+    /// Of a connection on which nothing has come yet.
+    pub fn new() -> Rc<Notes> {
+        Rc::new(Notes { length: Cell::new(false), bare: Cell::new(false), at: Cell::new(At::Idle) })
+    }
+}
+
+impl<S> Watched<S> {
+    /// Of a connection that may be idle, and take for a head, for so long.
+    pub fn new(stream: S, notes: Rc<Notes>, idle: Duration, guard: Duration) -> Watched<S> {
+        Watched {
+            stream,
+            notes,
+            tail: Vec::new(),
+            line: Line::default(),
+            bounds: (idle, guard),
+            due: Box::pin(tokio::time::sleep(idle)),
+            set: At::Idle,
+        }
+    }
+
+    /// Ready once an idle connection, or a head that comes byte by byte, has had its time.
+    fn bounded(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let at = self.notes.at.get();
+        if at == At::Request {
+            self.set = at;
+            return Poll::Pending;
+        }
+        if self.set != at {
+            self.set = at;
+            let bound = if at == At::Idle { self.bounds.0 } else { self.bounds.1 };
+            self.due.as_mut().reset(tokio::time::Instant::now() + bound);
+        }
+        self.due.as_mut().poll(context)
+    }
+
+    fn notice(&mut self, bytes: &[u8]) {
+        if self.notes.at.get() == At::Idle && !bytes.is_empty() {
+            self.notes.at.set(At::Head);
+            self.line = Line { open: true, ..Line::default() };
+        }
+        if self.line.open && self.line.bare(bytes) {
+            self.notes.bare.set(true);
+        }
+        self.tail.extend_from_slice(bytes);
+        let found = memchr::memchr_iter(b'-', &self.tail).any(|at| {
+            at.checked_sub(7)
+                .and_then(|from| self.tail.get(from..from + LENGTH.len()))
+                .is_some_and(|word| word.eq_ignore_ascii_case(LENGTH))
+        });
+        if found {
+            self.notes.length.set(true);
+        }
+        let keep = if found { 0 } else { (LENGTH.len() - 1).min(self.tail.len()) };
+        self.tail.drain(..self.tail.len() - keep);
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Watched<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if polled.is_ready() {
+            self.notice(buffer.filled().get(before..).unwrap_or_default());
+        }
+        if self.bounded(context).is_ready() {
+            // No request was taken from it yet, so that nothing is lost: an end, as if the client had ended it.
+            buffer.set_filled(before);
+            return Poll::Ready(Ok(()));
+        }
+        polled
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Watched<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
+    }
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt};
+
+    const IDLE: Duration = Duration::from_secs(3);
+    const GUARD: Duration = Duration::from_secs(1);
+
+    /// Seconds, to a tenth, until the connection ends, where a byte comes at each of these; the clock is the test's own.
+    async fn ends(at: At, bytes: impl Iterator<Item = f64>) -> f64 {
+        let begun = tokio::time::Instant::now();
+        let (mut client, server) = duplex(64);
+        let notes = Notes::new();
+        notes.at.set(at);
+        let mut watched = Watched::new(server, notes, IDLE, GUARD);
+        let writes = async {
+            for due in bytes {
+                tokio::time::sleep_until(begun + Duration::from_secs_f64(due)).await;
+                let _ = client.write_all(b"x").await;
+            }
+            std::future::pending::<()>().await;
+        };
+        let reads = async {
+            let mut rest = Vec::new();
+            let _ = watched.read_to_end(&mut rest).await;
+        };
+        let late = tokio::time::sleep(Duration::from_secs(60));
+        tokio::select! { _ = writes => {}, _ = reads => {}, _ = late => {} }
+        (begun.elapsed().as_secs_f64() * 10.0).round() / 10.0
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn idle_connections_and_slow_heads_end_each_in_their_time() {
+        assert_eq!(ends(At::Idle, std::iter::empty()).await, 3.0);
+        // A head that drips ends a guard's time after its first byte, however long it may be idle.
+        assert_eq!(ends(At::Idle, (5..500).map(|at| f64::from(at) * 0.1)).await, 1.5);
+        // A request's body may take longer: its deadline bounds it.
+        assert_eq!(ends(At::Request, (5..500).map(|at| f64::from(at) * 0.1)).await, 60.0);
+    }
+
+    #[test]
+    fn a_line_without_its_carriage_return_is_seen_however_the_bytes_come() {
+        let sound = b"\r\nGET /a HTTP/1.1\r\nHost: h\r\nX: a\rb\r\n\r\nbody\nof lines\n";
+        let bare = b"GET /a HTTP/1.1\r\nHost: h\nX: y\r\n\r\n";
+        let all = b"GET /a HTTP/1.1\nHost: h\n\nbody";
+        for (text, wanted) in [(&sound[..], false), (&bare[..], true), (&all[..], true)] {
+            for part in 1..text.len() {
+                let mut line = Line { open: true, ..Line::default() };
+                let mut found = false;
+                for chunk in text.chunks(part) {
+                    found |= line.open && line.bare(chunk);
+                }
+                assert_eq!(
+                    (found, line.open),
+                    (wanted, false),
+                    "{} in parts of {part}",
+                    String::from_utf8_lossy(text)
+                );
+            }
+        }
+    }
+}
--- a/crates/helm/tests/whole.rs
+++ b/crates/helm/tests/whole.rs
@@ -312,6 +312,7 @@
         (request("GET", "/look/a", "id-9", "Host: g.example\r\n", ""), 400),
         ("GET /look/a HTTP/1.1\r\nHo st: h\r\n\r\n".into(), 400),
         ("GARBAGE\r\n\r\n".into(), 400),
+        (request("GET", "/look/a", "id-10", "X-Bare: 1\nX-Behind: 2\r\n", ""), 400),
     ] {
         assert_eq!(ask(&text).map(|(status, ..)| status), Some(wanted), "{text}");
     }
@@ -379,6 +380,19 @@
     );
     let read = |hosts: &[u32]| place.order(hosts, "GET", "/milletwing/configuration", "", "");
     assert_eq!(read(&[3]), (200, body(3)));
+    // 64 MiB are refused by their announced length, before they are taken; the wrong encoding by the byte.
+    let large = "PUT /milletwing/configuration HTTP/1.1\r\nHost: core\r\nIf-Match: 3\r\nContent-Length: 67108864\r\n\r\n{";
+    assert_eq!(raw(place.at(1, 8544), large.as_bytes()).map(|(status, ..)| status), Some(413));
+    let wide: Vec<u8> = body(5).encode_utf16().flat_map(u16::to_le_bytes).collect();
+    let head = format!(
+        "PUT /milletwing/configuration HTTP/1.1\r\nHost: core\r\nIf-Match: 3\r\nContent-Length: {}\r\n\r\n",
+        wide.len()
+    );
+    assert_eq!(
+        raw(place.at(1, 8544), &[head.as_bytes(), &wide].concat()).map(|(status, ..)| status),
+        Some(400)
+    );
+    assert_eq!(read(&[1]), (200, body(3)));
     // The leader ends at once; whoever is left goes on.
     let (_, members) = place.order(&[1], "GET", "/milletwing/members", "", "");
     let leader = (1..=3)
@@ -447,6 +461,15 @@
     assert!(place.helm(&["members", "--core", &core]).1.contains("\"folded\""));
     assert!(place.helm(&["rollout", "--core", &core, "s", "--to", "v2"]).0);
     assert!(place.helm(&["trial", "--core", &core]).1.contains("\"to\":\"v2\""), "sent on to the leader");
+    // Settings that are missing or half written end a role at once, with the file's name.
+    for role in ["carrier", "steward"] {
+        let half = place.folder.join("half.toml").display().to_string();
+        std::fs::write(&half, "[self]\nnodeName = \"x\"\nipAddr").unwrap();
+        for path in ["/nowhere/settings.toml", half.as_str()] {
+            let said = place.helm(&[role, "--settings", path]);
+            assert!(!said.0 && said.1.contains(path), "{}", said.1);
+        }
+    }
     let deploy = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/system.toml");
     assert!(place.helm(&["check-system", deploy]).0);
 
--- a/crates/ledger/src/registry.rs
+++ b/crates/ledger/src/registry.rs
@@ -61,6 +61,19 @@
     pub life: u64,
 }
 
+/// An edge of which nothing but the time is new.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Still {
+    /// Its number.
+    pub id: u32,
+    /// Its life.
+    pub life: u64,
+    /// It takes traffic.
+    pub ready: bool,
+    /// Milliseconds since it was heard.
+    pub ago: Time,
+}
+
 /// What to do with a beat.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Verdict {
@@ -93,6 +106,8 @@
 
 /// An edge that was not heard for so long isn't in the directory.
 const EDGE_SILENT: Time = 1_500;
+/// Edges heard within this time are told to the others.
+const TELL: Time = 2_000;
 /// Lives remembered at most.
 const LIVES: usize = 16_384;
 
@@ -175,6 +190,33 @@
         }
     }
 
+    /// An edge that may be known already was heard of, so many milliseconds ago; another life of it is not the one known.
+    pub fn still(&mut self, now: Time, still: &Still) {
+        let at = now.saturating_sub(still.ago);
+        if let Some((edge, known)) = self.edges.get_mut(&still.id).filter(|(edge, _)| edge.life == still.life)
+        {
+            if at >= *known {
+                (edge.ready, *known) = (still.ready, at);
+            }
+        }
+    }
+
+    /// What the others are told of edges: in whole those of which something is new since `told`, else by number, life and
+    /// whether they take traffic. `told` is brought up to date.
+    pub fn gossip(&self, now: Time, told: &mut BTreeMap<u32, Heard>) -> (Vec<(Heard, Time)>, Vec<Still>) {
+        let (mut whole, mut still) = (Vec::new(), Vec::new());
+        for (edge, ago) in self.edges(now).filter(|(_, ago)| *ago < TELL) {
+            if told.get(&edge.id) == Some(edge) {
+                still.push(Still { id: edge.id, life: edge.life, ready: edge.ready, ago });
+            } else {
+                whole.push((edge.clone(), ago));
+                told.insert(edge.id, edge.clone());
+            }
+        }
+        told.retain(|id, _| self.edges.contains_key(id));
+        (whole, still)
+    }
+
     /// All edges with the milliseconds since each was heard.
     pub fn edges(&self, now: Time) -> impl Iterator<Item = (&Heard, Time)> {
         self.edges.values().map(move |(heard, at)| (heard, now.saturating_sub(*at)))
--- a/crates/ledger/tests/histories.rs
+++ b/crates/ledger/tests/histories.rs
@@ -1,7 +1,7 @@
 //! Histories of entries and beats, judged after the fact.
 
 use milletwing_ledger::registry::Verdict;
-use milletwing_ledger::{Beat, Command, Heard, Node, Outcome, Phase, Registry, State, View};
+use milletwing_ledger::{Beat, Command, Heard, Node, Outcome, Phase, Registry, State, Still, View};
 use milletwing_tenet::Kind;
 use std::collections::BTreeMap;
 
@@ -281,3 +281,38 @@
     let kept: BTreeMap<_, _> = view.settled.clone();
     assert_eq!((kept["s"].as_str(), view.revision), ("v2", 1), "a stage is no version of the configuration");
 }
+
+/// Three machines that tell each other of edges: whatever is lost or comes late, none believes an edge ready that another
+/// has told it isn't, nor takes a new life for the old one; and while nothing changes little is said.
+#[test]
+fn edges_are_told_in_whole_once_and_by_number_while_nothing_changes() {
+    let (mut near, mut far) = (Registry::default(), Registry::default());
+    let mut told = BTreeMap::new();
+    let (mut wholes, mut stills) = (0, 0);
+    let mut life = 1;
+    for step in 0u64..400 {
+        let now = 10_000 + step * 500;
+        life += u64::from(step % 50 == 49);
+        let ready = step % 20 < 15;
+        near.edge(now, Heard { ready, life, ..edge(7, "a", "north") }, 0);
+        near.edge(now, Heard { ready: true, ..edge(8, "b", "north") }, 0);
+        let (whole, still) = near.gossip(now, &mut told);
+        (wholes, stills) = (wholes + whole.len(), stills + still.len());
+        if step % 7 == 3 {
+            told.clear(); // the other end has come up anew, or this message was lost with its link
+            far = Registry::default();
+            continue;
+        }
+        whole.into_iter().for_each(|(heard, ago)| far.edge(now, heard, ago));
+        still.iter().for_each(|still| far.still(now, still));
+        let believed: Vec<(u32, u64)> = far.ready(now).iter().map(|heard| (heard.id, heard.life)).collect();
+        let true_now: Vec<(u32, u64)> = near.ready(now).iter().map(|heard| (heard.id, heard.life)).collect();
+        assert_eq!(believed, true_now, "step {step}");
+    }
+    assert!(stills > 3 * wholes, "{wholes} in whole, {stills} by number");
+    // Another life is not kept alive by the earlier one's number.
+    let mut registry = Registry::default();
+    registry.edge(1, Heard { life: 2, ..edge(7, "a", "north") }, 0);
+    registry.still(2_000, &Still { id: 7, life: 1, ready: true, ago: 0 });
+    assert!(registry.ready(2_000).is_empty());
+}
--- a/crates/processor-server/src/front.rs
+++ b/crates/processor-server/src/front.rs
@@ -2,6 +2,7 @@
 
 use crate::service;
 use crate::settings::Settings;
+use crate::told::Told;
 use crate::wire::{self, from_proxy, to_proxy, verdict, FromProxy, How, ToProxy};
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use milletwing_decision::interface::{
@@ -29,22 +30,6 @@
 /// Words that may wait for the thread.
 const WORDS: usize = 8192;
 
-/// What the thread is told.
-pub enum Told {
-    /// A stream has begun; verdicts for it go there.
-    Began(u64, mpsc::Sender<Result<ToProxy, tonic::Status>>),
-    /// A stream has ended.
-    Closed(u64),
-    /// A message came on it.
-    Came(u64, FromProxy),
-    /// The module sends a try.
-    Begin(Order),
-    /// The module gives up on one.
-    GiveUp(RequestId, u32, End),
-    /// The module answers.
-    Word(Arc<Open>, Word),
-}
-
 /// A front for other proxies that is to start with its marshal.
 pub struct Front {
     /// The operator's file.
--- a/crates/processor-server/src/service.rs
+++ b/crates/processor-server/src/service.rs
@@ -1,7 +1,7 @@
 //! The streams, on a runtime of one thread of its own.
 
-use crate::front::Told;
 use crate::settings::Settings;
+use crate::told::Told;
 use crate::wire::verdicts_server::{Verdicts, VerdictsServer};
 use crate::wire::{FromProxy, ToProxy};
 use crossbeam_channel::{Sender, TrySendError};
--- a/crates/releases/src/calendar.rs
+++ b/crates/releases/src/calendar.rs
@@ -1,7 +1,7 @@
 //! Freezes and exemptions, in a named time zone. A freeze is never shorter than it was told: where a clock shows a time
 //! twice it begins at the first and ends at the second, and 29 February counts as the end of the 28th in other years.
 
-use crate::model::{BuildingId, CustomerId, Edition, ServiceId};
+use crate::names::{BuildingId, CustomerId, Edition, ServiceId};
 use crate::Time;
 use jiff::civil::{Date, DateTime};
 use jiff::tz::TimeZone;
--- a/crates/releases/src/engine.rs
+++ b/crates/releases/src/engine.rs
@@ -5,7 +5,7 @@
 
 use crate::calendar::{closed, Closed, Mode};
 use crate::model::{BuildingId, CustomerId, Edition, Model, Reach};
-use crate::planner::depth;
+use crate::units::depth;
 use crate::Time;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/releases/src/model.rs
+++ b/crates/releases/src/model.rs
@@ -1,24 +1,9 @@
 //! What operators describe: services and their editions, buildings, customers by tranche, needs, budgets, freezes.
 
 use crate::calendar::{Exemption, Freeze};
+pub use crate::names::{BuildingId, CustomerId, Edition, ServiceId};
 use std::collections::BTreeMap;
 
-/// A service, a building and a customer, by position in the model's lists.
-pub type ServiceId = usize;
-/// A building.
-pub type BuildingId = usize;
-/// A customer.
-pub type CustomerId = usize;
-
-/// An edition: its service and build.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
-pub struct Edition {
-    /// The service.
-    pub service: ServiceId,
-    /// The build; a later one is higher.
-    pub build: u32,
-}
-
 /// Where what an edition needs must be out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Default)]
 pub enum Reach {
@@ -111,69 +96,4 @@
         let to = Edition { service: need.service, build: need.to };
         self.editions.range(from..=to).map(|(edition, _)| *edition)
     }
-
-    /// What is wrong with it, by the field that it stands under. Names are the reader's concern.
-    pub fn check(&self) -> Result<(), (String, String)> {
-        let wrong = |field: &str, why: String| Err((field.to_string(), why));
-        if self.tranche <= 0 {
-            return wrong("tranche_minutes", "a tranche takes some time".into());
-        }
-        if self.tranches.is_empty() || self.buildings.is_empty() {
-            return wrong("tranches", "at least one tranche and one building are wanted".into());
-        }
-        for customer in 0..self.customers.len() {
-            let times = self.tranches.iter().flatten().filter(|other| **other == customer).count();
-            if times != 1 {
-                return wrong(
-                    "tranches",
-                    format!("customer {} stands in {times} tranches", self.customers[customer]),
-                );
-            }
-        }
-        if self.budgets.overall == 0 || self.budgets.building == 0 {
-            return wrong("budgets", "with a budget of nothing no plan can finish".into());
-        }
-        for (edition, plan) in &self.editions {
-            for need in &plan.needs {
-                if need.from > need.to {
-                    let why =
-                        format!("{} needs an empty range: {} to {}", self.name(*edition), need.from, need.to);
-                    return wrong("needs", why);
-                }
-                if need.service == edition.service {
-                    return wrong("needs", format!("{} needs its own service", self.name(*edition)));
-                }
-                if self.meeting(*need).next().is_none() {
-                    let service = &self.services[need.service];
-                    let why = format!(
-                        "{} needs {service} {} to {}, and no edition is in that range: it could never go out",
-                        self.name(*edition),
-                        need.from,
-                        need.to
-                    );
-                    return wrong("needs", why);
-                }
-            }
-        }
-        // What must move together must fit into the budgets together.
-        for unit in crate::planner::units(self).map_err(|why| ("needs".to_string(), why))? {
-            if unit.len() > self.budgets.building.min(self.budgets.overall) {
-                let names: Vec<String> = unit.iter().map(|edition| self.name(*edition)).collect();
-                return wrong(
-                    "budgets",
-                    format!("{} must move together, which no budget allows", names.join(" and ")),
-                );
-            }
-        }
-        for freeze in &self.freezes {
-            freeze.check().map_err(|why| ("freezes".to_string(), format!("{}: {why}", freeze.name)))?;
-        }
-        for exemption in &self.exemptions {
-            if !self.freezes.iter().any(|freeze| freeze.name == exemption.freeze) {
-                let why = format!("{}: there is no freeze {}", exemption.name, exemption.freeze);
-                return wrong("exemptions", why);
-            }
-        }
-        Ok(())
-    }
 }
--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -2,7 +2,6 @@
 //! heard of marshals and edges. Inputs come from links, the disk, callers and the clock; after each, `pump` does what has
 //! become possible.
 
-use crate::disk::Writes;
 use milletwing_accord::{Id, Mark, Member, Message, Options, Payload, Role};
 use milletwing_ledger::registry::Verdict;
 use milletwing_ledger::{Beat, Command, Heard, Outcome, Registry, RollOut, State, View};
@@ -29,6 +28,8 @@
 const FRESH: Time = 700;
 /// After an edge came, or came back, others are expected for so long.
 const GROWING: Time = 3_000;
+/// Between two times that other machines are told of edges in whole.
+const RETELL: Time = 3_000;
 /// Members at most.
 const MOST_MEMBERS: usize = 9;
 /// Entries, and bytes of them, kept for edges that resume.
@@ -50,6 +51,12 @@
     send: mpsc::Sender<Rc<Vec<u8>>>,
 }
 
+/// What the disk gave at the start, and the way to it.
+pub struct Writes {
+    pub stored: milletwing_accord::Stored,
+    pub send: std::sync::mpsc::SyncSender<milletwing_accord::Batch>,
+}
+
 /// One machine of the core.
 pub struct Core {
     pub settings: Settings,
@@ -74,6 +81,9 @@
     leader: Option<Id>,
     swept: Time,
     told: Time,
+    /// Edges as the others were told of them in whole, and when all were last.
+    gossiped: BTreeMap<u32, Heard>,
+    retold: Time,
     lost: bool,
     members: Vec<Id>,
     /// Trials under way, as this machine judges them while it leads.
@@ -134,6 +144,8 @@
             leader: None,
             swept: 0,
             told: 0,
+            gossiped: BTreeMap::new(),
+            retold: 0,
             lost,
             members: Vec::new(),
             trials: BTreeMap::new(),
@@ -175,6 +187,7 @@
     /// Another machine of the core has dialled this one.
     pub fn dialled_by(&mut self, id: Id) {
         self.meet(id);
+        self.gossiped.clear(); // it may know nothing
         if let Some((_, up)) = self.links.get(&id) {
             up.notify_waiters();
         }
@@ -366,9 +379,10 @@
             let now = core.now();
             match peer {
                 Peer::Accord(message) => core.member.step(now, from, message),
-                Peer::Heard { nodes, edges } => {
+                Peer::Heard { nodes, edges, still } => {
                     core.registry.heard(now, &nodes);
                     edges.into_iter().for_each(|(edge, ago)| core.registry.edge(now, edge, ago));
+                    still.iter().for_each(|still| core.registry.still(now, still));
                 }
                 Peer::Call { number, ask } => {
                     let shared = Rc::clone(shared);
@@ -443,15 +457,15 @@
         if now >= self.told + 500 {
             self.told = now;
             let nodes = self.registry.news();
-            // Only what this machine hears itself: the age tells others how old it is.
-            let edges: Vec<(Heard, u64)> = self
-                .registry
-                .edges(now)
-                .filter(|(_, ago)| *ago < 2_000)
-                .map(|(edge, ago)| (edge.clone(), ago))
-                .collect();
-            for id in self.known.clone() {
-                self.post(id, &Peer::Heard { nodes: nodes.clone(), edges: edges.clone() });
+            // Guards against a machine that has just come up, or whose link lost a message: now and then all is told again.
+            if now >= self.retold + RETELL {
+                self.retold = now;
+                self.gossiped.clear();
+            }
+            let (edges, still) = self.registry.gossip(now, &mut self.gossiped);
+            let bytes = Rc::new(frame(&Peer::Heard { nodes, edges, still }));
+            for (link, _) in self.known.iter().filter_map(|id| self.links.get(id)) {
+                let _ = link.try_send(Rc::clone(&bytes)); // a full link drops: it is told again
             }
             // One that is not a member, or that hears no leader and may have been replaced, asks all it knows: whoever leads
             // takes it in.
--- a/crates/steward/src/disk.rs
+++ b/crates/steward/src/disk.rs
@@ -1,23 +1,17 @@
 //! The thread that writes: one batch at a time, synced, told back when it is down. While the disk stalls, nothing that
 //! depends on it leaves, and everything else goes on.
 
-use crate::core::{Core, Shared};
+use crate::core::{Core, Shared, Writes};
 use milletwing_accord::{Batch, Stored};
 use milletwing_archive::Archive;
 use milletwing_tenet::{tell, Settings};
 use std::path::PathBuf;
-use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::mpsc::sync_channel;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 
 /// Bytes of pages that the file's library keeps in memory.
 const CACHE: usize = 1 << 20;
 
-/// What the disk gave at the start, and the way to it.
-pub struct Writes {
-    pub stored: Stored,
-    pub send: SyncSender<Batch>,
-}
-
 /// Opens the machine's file; without a `stateDir` it lives in memory, and each start is that of a lost disk.
 pub fn open(settings: &Settings) -> Result<(Writes, UnboundedReceiver<Result<(), String>>), String> {
     let (archive, stored) = match &settings.own.state_dir {
--- a/crates/steward/src/front.rs
+++ b/crates/steward/src/front.rs
@@ -4,7 +4,7 @@
 use crate::core::{Core, Shared};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE, LOCATION, RETRY_AFTER};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
@@ -131,13 +131,18 @@
 }
 
 async fn body(request: Request<Incoming>, most: usize) -> Result<Bytes, Kind> {
+    // What says that it is too long is refused before it is taken.
+    if request.body().size_hint().lower() > most as u64 {
+        return Err(Kind::BodyTooLarge);
+    }
     let read = Limited::new(request.into_body(), most).collect();
     let read = tokio::time::timeout(Duration::from_secs(5), read).await;
     match read {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(problem)) if problem.is::<LengthLimitError>() => Err(Kind::BodyTooLarge),
         Ok(Err(problem)) => Err(Kind::Unreadable(problem.to_string())),
-        Err(_) => Err(Kind::Unreadable("the body did not come in time".into())),
+        // Not 400, which would end the call for good: a narrow link is no fault of its caller's.
+        Err(_) => Err(Kind::Slow),
     }
 }
 
--- a/crates/tenet/src/kind.rs
+++ b/crates/tenet/src/kind.rs
@@ -74,6 +74,9 @@
     /// A beat that can't be used.
     #[display("beat: {_0}")]
     BadBeat(#[error(not(source))] String),
+    /// The body of a call did not come in time; nothing was done.
+    #[display("the body did not come in time")]
+    Slow,
     /// Nothing there by that name.
     #[display("there is no {_0}")]
     Unknown(#[error(not(source))] String),
@@ -111,6 +114,7 @@
             Kind::NoService(_) | Kind::UnknownService(..) | Kind::NegativeShare(_) => (400, true, false),
             Kind::OddClass(..) | Kind::BarePrefix(_) | Kind::LongGuard(_) => (400, true, false),
             Kind::FarTarget(_) | Kind::OldRevision(..) => (400, true, false),
+            Kind::Slow => (408, true, false),
             Kind::Stale(_) => (412, true, false),
             Kind::HeadTooLarge => (431, true, false),
             Kind::BodyTooLarge => (413, true, false),
--- a/crates/tidings/src/lib.rs
+++ b/crates/tidings/src/lib.rs
@@ -2,7 +2,7 @@
 //! connection begins with a [`Greeting`]; a core machine then sends [`Peer`]s one way, an edge [`Up`]s and gets [`Down`]s.
 
 use milletwing_accord::{Id, Message};
-use milletwing_ledger::{Beat, Command, Heard};
+use milletwing_ledger::{Beat, Command, Heard, Still};
 use milletwing_tenet::{tell, Settings};
 use milletwing_verity::Report;
 use serde::de::DeserializeOwned;
@@ -32,8 +32,9 @@
 pub enum Peer {
     /// The agreement's.
     Accord(Message),
-    /// Marshals and edges heard of; edges with the milliseconds since.
-    Heard { nodes: Vec<String>, edges: Vec<(Heard, u64)> },
+    /// Marshals and edges heard of, with the milliseconds since; edges in whole where something about them is new, else by
+    /// number.
+    Heard { nodes: Vec<String>, edges: Vec<(Heard, u64)>, still: Vec<Still> },
     /// To the leader, for one who called here.
     Call { number: u64, ask: Ask },
     /// The leader's answer.
