Edges tell each other, by way of the core, what loads marshals told them

Cause: an edge of a large fleet meets a marshal once in many seconds.

Change: package suspicion with `felt` (what an edge met) and `board` (the newest load of each host); beats carry it four times a second while there is something, core machines pass it on, one pulse made for all edges brings it back; what is known of a marshal fades into the mean of its service; pulses go by the clock and are dropped when late, so that a stream of entries can't starve them.

--- a/crates/carrier/src/feed.rs
+++ b/crates/carrier/src/feed.rs
@@ -16,8 +16,12 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
-/// Between an edge's beats.
-const BEAT: Duration = Duration::from_millis(500);
+/// Between an edge's beats, and between them while it has something to tell.
+const BEAT: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(250));
+/// Hosts told of in one beat, at most.
+const MOST_FELT: usize = 256;
+/// Milliseconds on the way from the edge that was told of a load to this one: half a beat there, half a pulse here.
+const SHARED: u64 = 250;
 /// A core machine that says nothing for so long is left; its pulse comes five times a second.
 const SILENCE: Duration = Duration::from_millis(900);
 /// One that doesn't hear its leader for so long is left.
@@ -76,13 +80,20 @@
     let beating = Rc::clone(edge);
     let beats = tokio::task::spawn_local(async move {
         let mut trials = false;
+        let mut idle = 0;
         loop {
-            let pause = if trials { BEAT / 3 } else { BEAT };
-            let _ = tokio::time::timeout(pause, beating.changed.notified()).await;
+            let pause = if trials { BEAT.0 / 3 } else { BEAT.1 };
+            let changed = tokio::time::timeout(pause, beating.changed.notified()).await.is_ok();
             let now = beating.now();
             let reports = beating.course.borrow_mut().reports(now);
+            let felt = beating.course.borrow_mut().felt(MOST_FELT);
             trials = !reports.is_empty();
-            let beat = frame(&Up::Beat(beating.heard(), beating.view.borrow().index, reports));
+            // With nothing to tell, every second one is enough to say that it lives.
+            idle = if changed || trials || !felt.is_empty() { 0 } else { idle + 1 };
+            if idle % 2 == 1 {
+                continue;
+            }
+            let beat = frame(&Up::Beat(beating.heard(), beating.view.borrow().index, reports, felt));
             if write.write_all(&beat).await.is_err() {
                 return;
             }
@@ -116,7 +127,7 @@
                     break problem;
                 }
             }
-            Down::Pulse { fresh: now, index, cores: all, edges } => {
+            Down::Pulse { fresh: now, index, cores: all, edges, loads } => {
                 let behind = index < edge.view.borrow().index;
                 if now && !behind {
                     fresh = Instant::now();
@@ -129,7 +140,10 @@
                     break "it does not hear its leader, or lags".into();
                 }
                 *cores = all;
-                edge.course.borrow_mut().edges(edges);
+                let now = edge.now();
+                let course = &mut *edge.course.borrow_mut();
+                course.edges(edges);
+                course.loads(now, &loads, SHARED);
             }
         }
     };
--- a/crates/course/src/course.rs
+++ b/crates/course/src/course.rs
@@ -12,12 +12,13 @@
 use ahash::RandomState;
 use hashbrown::HashMap;
 use milletwing_ledger::{Phase, State, View};
+use milletwing_suspicion::Felt;
 use milletwing_tenet::settings::Guarantees;
 use milletwing_tenet::{Configuration, Kind};
 use milletwing_verity::{Report, LAST};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -81,6 +82,8 @@
     budget: Budget,
     /// Milliseconds of an answer, by route.
     usual: f64,
+    /// Part of a marshal's capacity that others hold, as told of any.
+    others: f64,
     connections: u32,
     trial: Option<Trial>,
 }
@@ -99,6 +102,8 @@
 /// Connections to a marshal that can't be made, one after the other, before the request is given up.
 const MISSES: u32 = 3;
 
+/// Weight of one word on a marshal's load in the mean over its service (ours).
+const OTHERS: f64 = 0.02;
 /// Milliseconds without a word from the core after which nothing more is exposed.
 const HEARD: Time = 2_000;
 
@@ -111,6 +116,10 @@
     of: Option<Arc<Configuration>>,
     marshals: HashMap<u64, Marshal, RandomState>,
     keys: HashMap<String, u64, RandomState>,
+    /// Marshals by the number under which edges tell each other of them.
+    hosts: HashMap<u32, u64, RandomState>,
+    /// Marshals at which something was met since it was told last.
+    met: BTreeSet<u64>,
     next: u64,
     services: HashMap<Rc<str>, Service, RandomState>,
     /// Kilobytes of an answer, by route.
@@ -132,6 +141,8 @@
             of: None,
             marshals: HashMap::default(),
             keys: HashMap::default(),
+            hosts: HashMap::default(),
+            met: BTreeSet::new(),
             next: 0,
             services: HashMap::default(),
             weight: HashMap::default(),
@@ -176,8 +187,8 @@
         let gone: Vec<String> =
             self.keys.keys().filter(|id| !view.nodes.contains_key(id.as_str())).cloned().collect();
         for id in gone {
-            if let Some(key) = self.keys.remove(&id) {
-                self.marshals.remove(&key);
+            if let Some(marshal) = self.keys.remove(&id).and_then(|key| self.marshals.remove(&key)) {
+                self.hosts.remove(&marshal.felt.host);
             }
         }
         let window = (self.bounds.retryWindowS * 1000.0) as Time;
@@ -202,6 +213,7 @@
                 Reach::Far
             };
             let marshal = self.marshals.entry(key).or_insert_with(|| Marshal::new(node, region, reach, now));
+            self.hosts.insert(marshal.felt.host, key);
             marshal.phase(&node.phase, self.place.id);
             marshal.new = view.trial(node).is_some();
             marshal.open = node.phase != Phase::Draining
@@ -213,6 +225,7 @@
                 reach: Default::default(),
                 budget: Budget::new(window),
                 usual: 50.0,
+                others: 0.0,
                 connections: sessions,
                 trial: None,
             });
@@ -254,6 +267,32 @@
         trials.map(|(name, trial)| trial.report(now, name)).collect()
     }
 
+    /// What was met at marshals since the last call, of so many at most; the rest comes with the next.
+    pub fn felt(&mut self, most: usize) -> Vec<Felt> {
+        let mut out = Vec::new();
+        while let Some(key) = self.met.pop_first() {
+            out.extend(self.marshals.get_mut(&key).and_then(Marshal::tell));
+            if out.len() >= most {
+                break;
+            }
+        }
+        out
+    }
+
+    /// What others were told of marshals' loads, so many milliseconds ago.
+    pub fn loads(&mut self, now: Time, loads: &[(u32, u16)], ago: Time) {
+        for (host, load) in loads {
+            let Some(marshal) = self.hosts.get(host).and_then(|key| self.marshals.get_mut(key)) else {
+                continue;
+            };
+            marshal.shared(now, *load, ago);
+            let others = marshal.others();
+            if let Some(service) = self.services.get_mut(marshal.service.as_ref()) {
+                service.others += OTHERS * (others - service.others);
+            }
+        }
+    }
+
     /// The core was heard.
     pub fn heard(&mut self, now: Time) {
         self.heard = now;
@@ -311,7 +350,7 @@
         let mut best: Option<(f64, u64)> = None;
         let mut full = false;
         let marshals = &mut self.marshals;
-        let usual = service.usual;
+        let (usual, others) = (service.usual, service.others);
         // A further try of a request goes to the version that is known, as long as that has traffic.
         let last = service.trial.as_ref().is_some_and(|trial| trial.stage >= LAST);
         let wanted = last || (ticket.new && ticket.sent == 0);
@@ -332,7 +371,7 @@
             }
             let reach = marshal.reach as usize;
             let away = if marshal.mean > 0.0 { 0.0 } else { AWAY[reach] };
-            let late = (marshal.wait(now, usual) + away) / target;
+            let late = (marshal.wait(now, usual, others) + away) / target;
             let cost = late.min(2.0) * late.min(2.0) + marshal.failing(now) + CROSSING[reach] * kilobytes;
             if best.is_none_or(|(least, _)| cost < least) {
                 *best = Some((cost, key));
@@ -422,6 +461,7 @@
             }
         }
         let marshal = self.marshals.get_mut(&sending.marshal)?;
+        self.met.insert(sending.marshal);
         // Errors and time-outs score 1, a time-out being an answer beyond the aim; what never ran is no outcome.
         let bad = match result {
             Ended::Served => Some(took > ticket.route.target),
@@ -431,7 +471,11 @@
         if let Some(trial) = self.services.get_mut(&sending.service).and_then(|it| it.trial.as_mut()) {
             trial.ended(now, sending.number, bad);
         }
-        marshal.end(now, result, took, load)
+        let avoided = marshal.end(now, result, took, load);
+        if let (Some(_), Some(service)) = (load, self.services.get_mut(&sending.service)) {
+            service.others += OTHERS * (marshal.others() - service.others);
+        }
+        avoided
     }
 
     /// A sending waits longer than this edge waits for one.
--- a/crates/course/src/marshal.rs
+++ b/crates/course/src/marshal.rs
@@ -2,6 +2,7 @@
 
 use crate::Time;
 use milletwing_ledger::{Node, Phase};
+use milletwing_suspicion::{key, Felt};
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -61,6 +62,9 @@
 const FADE: f64 = 4_000.0;
 /// Milliseconds for which a told load is believed; it then fades.
 const TOLD: f64 = 400.0;
+/// What one that turns requests away is taken to hold, as a multiple of what it works on at once: the least at which any
+/// request is refused, so that what goes first is still sent there where nothing better is left.
+const FULL: f64 = 2.0;
 /// The first and the longest time for which one that can't be reached is avoided, in milliseconds.
 const AVOID: (Time, Time) = (400, 3_200);
 
@@ -71,6 +75,8 @@
     pub id: Rc<str>,
     /// Where it listens.
     pub address: SocketAddrV4,
+    /// Its service.
+    pub service: Rc<str>,
     /// Its zone.
     pub zone: String,
     /// Its region.
@@ -89,8 +95,10 @@
     sent: VecDeque<Time>,
     /// Out from this edge.
     pub out: u32,
-    /// Told: requests of others there, and when.
+    /// Told, here or to another edge: requests of others there, and when.
     told: (f64, Time),
+    /// Its life as a number, by which edges tell each other of it; and what this one met there since it told last.
+    pub felt: Felt,
     /// Mean milliseconds of an answer, 0: unknown.
     pub mean: f64,
     /// Felt share of failures, and when it was brought up to date.
@@ -103,11 +111,23 @@
 }
 
 impl Marshal {
+    /// What was met there since the last call, if anything.
+    pub fn tell(&mut self) -> Option<Felt> {
+        let fresh = Felt { host: self.felt.host, ..Felt::default() };
+        (self.felt != fresh).then(|| std::mem::replace(&mut self.felt, fresh))
+    }
+
+    /// Part of its capacity that others hold, as told last.
+    pub fn others(&self) -> f64 {
+        self.told.0 / self.capacity
+    }
+
     /// Of a life.
     pub fn new(node: &Node, region: &str, reach: Reach, now: Time) -> Marshal {
         Marshal {
             id: Rc::from(node.id.as_str()),
             address: node.address,
+            service: Rc::from(node.target.as_str()),
             zone: node.zone.clone(),
             region: region.into(),
             capacity: f64::from(node.capacity.max(1)),
@@ -118,6 +138,7 @@
             sent: VecDeque::new(),
             out: 0,
             told: (0.0, 0),
+            felt: Felt { host: key(&node.id), ..Felt::default() },
             mean: 0.0,
             bad: (0.0, now),
             avoid: (0, 0),
@@ -152,17 +173,35 @@
         true
     }
 
+    /// How much of what was told is believed still.
+    fn believed(&self, now: Time) -> f64 {
+        let age = now.saturating_sub(self.told.1) as f64;
+        if age <= TOLD {
+            1.0
+        } else {
+            (0.5f64).powf((age - TOLD) / TOLD)
+        }
+    }
+
     /// Requests there: own, and others' as told.
     pub fn jobs(&self, now: Time) -> f64 {
-        let age = now.saturating_sub(self.told.1) as f64;
-        let weight = if age <= TOLD { 1.0 } else { (0.5f64).powf((age - TOLD) / TOLD) };
-        f64::from(self.out) + self.told.0 * weight
+        f64::from(self.out) + self.told.0 * self.believed(now)
     }
 
-    /// Expected milliseconds until it answers, where `usual` is what a marshal of its service takes.
-    pub fn wait(&self, now: Time, usual: f64) -> f64 {
+    /// Another edge was told of so many requests there, so many milliseconds ago.
+    pub fn shared(&mut self, now: Time, load: u16, ago: Time) {
+        let at = now.saturating_sub(ago);
+        if at > self.told.1 {
+            self.told = ((f64::from(load) - f64::from(self.out)).max(0.0), at);
+        }
+    }
+
+    /// Expected milliseconds until it answers, where `usual` is what a marshal of its service takes, and `others` the part of
+    /// its capacity that others hold there: what is known of this one fades into that. Guards against taking a marshal
+    /// that was not heard of for long for an empty one.
+    pub fn wait(&self, now: Time, usual: f64, others: f64) -> f64 {
         let mean = if self.mean > 0.0 { self.mean } else { usual };
-        let jobs = self.jobs(now);
+        let jobs = self.jobs(now) + others * self.capacity * (1.0 - self.believed(now));
         let queue = (jobs + 1.0 - self.capacity).max(0.0) / self.capacity;
         // Short of full, each job there makes a wait a little more likely; some also slow down.
         mean * (1.0 + queue + 0.25 * (jobs / self.capacity).min(1.0))
@@ -173,6 +212,13 @@
         self.bad.0 * (0.5f64).powf(now.saturating_sub(self.bad.1) as f64 / FADE)
     }
 
+    /// It takes no more: said or shown. Other edges are told as well.
+    fn full(&mut self, now: Time) {
+        let others = self.told.0.max(FULL * self.capacity);
+        self.told = (others, now);
+        self.felt.load = Some((others + f64::from(self.out)) as u16);
+    }
+
     fn feel(&mut self, now: Time, bad: f64) {
         let before = self.failing(now);
         self.bad = (before + 0.1 * (bad - before), now);
@@ -194,6 +240,14 @@
         if let Some(load) = load {
             let others = f64::from(load.running + load.waiting) - f64::from(self.out) - 1.0;
             self.told = (others.max(0.0), now);
+            self.felt.load = u16::try_from((load.running + load.waiting).saturating_sub(1)).ok();
+        }
+        let felt = &mut self.felt;
+        match result {
+            Result::Served | Result::TurnedAway => felt.good = felt.good.saturating_add(1),
+            Result::Failed | Result::Broken => felt.bad = felt.bad.saturating_add(1),
+            Result::Unreached | Result::Silent => felt.lost = felt.lost.saturating_add(1),
+            Result::Moved | Result::Unsent | Result::Dropped => {}
         }
         match result {
             Result::Served => {
@@ -209,9 +263,15 @@
             Result::TurnedAway => {
                 // Full: others send there as well.
                 self.avoid = (0, 0);
-                self.told = (self.told.0.max(2.0 * self.capacity), now);
+                self.full(now);
+            }
+            Result::Broken => {
+                // Marshals of some services reset when they are full: one that was known to be busy and breaks off at once.
+                if self.jobs(now) >= self.capacity && (took as f64) < 0.5 * self.mean {
+                    self.full(now);
+                }
+                self.feel(now, 1.0);
             }
-            Result::Broken => self.feel(now, 1.0),
             Result::Moved | Result::Unreached | Result::Silent => {
                 self.feel(now, 1.0);
                 let times = self.avoid.1.min(8);
--- a/crates/course/tests/decisions.rs
+++ b/crates/course/tests/decisions.rs
@@ -3,6 +3,7 @@
 use milletwing_course::marshal::Load;
 use milletwing_course::{Course, Place, Result as Ended, Ticket, Time};
 use milletwing_ledger::{Command, Node, Phase, View};
+use milletwing_suspicion::key;
 use milletwing_tenet::settings::Guarantees;
 use milletwing_tenet::Kind;
 use rand::{Rng, SeedableRng};
@@ -362,3 +363,37 @@
     assert!(count > 0);
     assert_eq!(bad(9_000, &mut course), (all + f64::from(count), all + f64::from(count)));
 }
+
+/// An edge that meets a marshal once in many seconds goes by what others were told there, as long as that is fresh.
+#[test]
+fn loads_that_other_edges_were_told_steer_an_edge_that_met_nobody() {
+    let view = view(12);
+    let mut course = edge(1, &view, 1, 1);
+    let free = [2, 9];
+    let loads: Vec<(u32, u16)> =
+        (0..12).map(|at| (key(&format!("i-v1-{at}")), if free.contains(&at) { 1 } else { 30 })).collect();
+    let mut sent = |now: Time, told: bool| -> BTreeMap<usize, u32> {
+        let mut sent = BTreeMap::new();
+        for _ in 0..200 {
+            if told {
+                course.loads(now, &loads, 0);
+            }
+            let mut ticket = arrive(&mut course, now, "/look/x");
+            let sending = course.pick(now, &mut ticket).unwrap();
+            *sent.entry(sending.id.rsplit('-').next().unwrap().parse().unwrap()).or_default() += 1;
+            course.ended(now, &mut ticket, &sending, Ended::Dropped, None);
+        }
+        sent
+    };
+    assert!(sent(1_000, true).keys().all(|at| free.contains(at)), "all others are full");
+    let later = sent(20_000, false);
+    assert!(later.keys().any(|at| !free.contains(at)), "what was told long ago shuts out nobody: {later:?}");
+    // What it meets itself it tells, once.
+    let mut ticket = arrive(&mut course, 30_000, "/look/x");
+    let sending = course.pick(30_000, &mut ticket).unwrap();
+    course.ended(30_020, &mut ticket, &sending, Ended::Served, Some(Load { running: 4, waiting: 2 }));
+    let felt = course.felt(100);
+    let of = felt.iter().find(|felt| felt.host == key(&sending.id)).unwrap();
+    assert_eq!((of.good, of.bad, of.lost, of.load), (1, 0, 0, Some(5)), "itself has left");
+    assert!(course.felt(100).is_empty());
+}
--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -5,6 +5,7 @@
 use milletwing_accord::{Id, Mark, Member, Message, Options, Payload, Role};
 use milletwing_ledger::registry::Verdict;
 use milletwing_ledger::{Beat, Command, Heard, Outcome, Registry, RollOut, State, View};
+use milletwing_suspicion::{Board, Felt};
 use milletwing_tenet::{tell, Kind, Settings};
 use milletwing_tidings::{frame, Answer, Ask, Down, Peer};
 use milletwing_verity::{cap, pace, Move, Report, Tally, LAST};
@@ -28,6 +29,8 @@
 const FRESH: Time = 700;
 /// After an edge came, or came back, others are expected for so long.
 const GROWING: Time = 3_000;
+/// Milliseconds between two pulses to edges.
+const PULSE: Time = 200;
 /// Between two times that other machines are told of edges in whole.
 const RETELL: Time = 3_000;
 /// Members at most.
@@ -46,9 +49,12 @@
     tally: Tally,
 }
 
+/// What goes to an edge; a pulse with the time when it was made.
+pub type Word = (Option<Time>, Rc<Vec<u8>>);
+
 struct Feed {
     sent: u64,
-    send: mpsc::Sender<Rc<Vec<u8>>>,
+    send: mpsc::Sender<Word>,
 }
 
 /// What the disk gave at the start, and the way to it.
@@ -81,6 +87,10 @@
     leader: Option<Id>,
     swept: Time,
     told: Time,
+    beaten: Time,
+    /// Loads of marshals as edges were told them; and what the edges of this machine met, for the others.
+    board: Board,
+    met: BTreeMap<u32, (u64, Time, Vec<Felt>)>,
     /// Edges as the others were told of them in whole, and when all were last.
     gossiped: BTreeMap<u32, Heard>,
     retold: Time,
@@ -144,6 +154,9 @@
             leader: None,
             swept: 0,
             told: 0,
+            beaten: 0,
+            board: Board::default(),
+            met: BTreeMap::new(),
             gossiped: BTreeMap::new(),
             retold: 0,
             lost,
@@ -199,6 +212,14 @@
         }
     }
 
+    /// To all machines known; made once.
+    fn post_all(&self, peer: &Peer) {
+        let bytes = Rc::new(frame(peer));
+        for (link, _) in self.known.iter().filter_map(|id| self.links.get(id)) {
+            let _ = link.try_send(Rc::clone(&bytes)); // a full link drops: such things are told again
+        }
+    }
+
     /// Does whatever has become possible. Called after every input.
     pub fn pump(shared: &Shared) {
         let core = &mut *shared.borrow_mut();
@@ -401,6 +422,11 @@
                         core.reports(edge, life, reports);
                     }
                 }
+                Peer::Felt(told) => {
+                    for (_, ago, felt) in told {
+                        core.board.take(now, &felt, ago);
+                    }
+                }
                 Peer::Join => {
                     core.joins.insert(from, now);
                     core.joins.retain(|_, at| now.saturating_sub(*at) < REPLACED);
@@ -423,6 +449,10 @@
             let core = &mut *shared.borrow_mut();
             let now = core.now();
             core.member.tick(now);
+            if now >= core.beaten + PULSE {
+                core.beaten = now;
+                core.pulse(now);
+            }
             if now >= core.swept + 250 {
                 core.swept = now;
                 core.sweep(now);
@@ -454,6 +484,11 @@
         self.reads.retain(|_, read| !read.is_closed());
         self.calls.retain(|_, call| !call.is_closed());
         self.registry.forget(now);
+        if !self.met.is_empty() {
+            let met = std::mem::take(&mut self.met).into_iter();
+            let told = met.map(|(edge, (_, at, felt))| (edge, now.saturating_sub(at), felt)).collect();
+            self.post_all(&Peer::Felt(told));
+        }
         if now >= self.told + 500 {
             self.told = now;
             let nodes = self.registry.news();
@@ -463,10 +498,7 @@
                 self.gossiped.clear();
             }
             let (edges, still) = self.registry.gossip(now, &mut self.gossiped);
-            let bytes = Rc::new(frame(&Peer::Heard { nodes, edges, still }));
-            for (link, _) in self.known.iter().filter_map(|id| self.links.get(id)) {
-                let _ = link.try_send(Rc::clone(&bytes)); // a full link drops: it is told again
-            }
+            self.post_all(&Peer::Heard { nodes, edges, still });
             // One that is not a member, or that hears no leader and may have been replaced, asks all it knows: whoever leads
             // takes it in.
             let outside = !self.member.members().contains(&self.settings.id());
@@ -550,6 +582,19 @@
         }
     }
 
+    /// What an edge of this machine met at hosts.
+    pub fn felt(&mut self, edge: &Heard, felt: Vec<Felt>) {
+        let now = self.now();
+        if felt.is_empty() {
+            return;
+        }
+        self.board.take(now, &felt, 0);
+        let (_, at, met) = self.met.entry(edge.id).or_insert((edge.life, now, Vec::new()));
+        *at = now;
+        // Bounded by what is told on four times a second; what doesn't fit is told by the edge's next requests.
+        met.extend(felt.into_iter().take(1024usize.saturating_sub(met.len())));
+    }
+
     /// Ends the membership of a machine that another has replaced.
     fn replace(&mut self, now: Time) {
         let silent = self.member.superfluous(now, REPLACED).filter(|id| !self.joined(*id, now));
@@ -737,7 +782,7 @@
     }
 
     /// An edge's connection: what it lacks goes into its queue from now on.
-    pub fn attach(&mut self, edge: Heard, index: u64) -> (u64, mpsc::Receiver<Rc<Vec<u8>>>) {
+    pub fn attach(&mut self, edge: Heard, index: u64) -> (u64, mpsc::Receiver<Word>) {
         let (send, queue) = mpsc::channel(256);
         self.next += 1;
         let (id, now) = (self.next, self.now());
@@ -779,20 +824,31 @@
             return;
         };
         feed.sent = index;
-        if feed.send.try_send(bytes).is_err() {
+        if feed.send.try_send((None, bytes)).is_err() {
             self.feeds.remove(&id);
         }
     }
 
-    /// What an edge is told now and then.
-    pub fn pulse(&self) -> Down {
-        let now = self.now();
+    /// What all edges here are told five times a second: made once, and left out where something still waits before it, so
+    /// that a word is never old when it arrives.
+    fn pulse(&mut self, now: Time) {
+        let loads = self.board.news(now);
+        let bytes = Rc::new(frame(&self.pulsed(now, loads)));
+        for feed in self.feeds.values() {
+            if feed.send.capacity() == feed.send.max_capacity() {
+                let _ = feed.send.try_send((Some(now), Rc::clone(&bytes)));
+            }
+        }
+    }
+
+    fn pulsed(&self, now: Time, loads: Vec<(u32, u16)>) -> Down {
         let mut cores = self.member.members().to_vec();
         if cores.is_empty() {
             cores.push(self.settings.id());
         }
         let fresh = self.member.fresh(now, FRESH) && !self.member.lost();
-        Down::Pulse { fresh, index: self.view.index, cores, edges: self.registry.ready(now).len() as u32 }
+        let edges = self.registry.ready(now).len() as u32;
+        Down::Pulse { fresh, index: self.view.index, cores, edges, loads }
     }
 
     /// Seconds for which a client may hold a resolution: as long as allowed, since a look-up at a machine without power costs
--- a/crates/steward/src/feeds.rs
+++ b/crates/steward/src/feeds.rs
@@ -2,13 +2,13 @@
 
 use crate::core::Shared;
 use milletwing_ledger::Heard;
-use milletwing_tidings::{self as tidings, frame, Up};
+use milletwing_tidings::{self as tidings, Up};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 
-/// Between two pulses of a quiet feed.
-const PULSE: Duration = Duration::from_millis(200);
+/// Milliseconds after which a pulse is not sent any more.
+const LATE: u64 = 100;
 
 /// Serves an edge until either side ends.
 pub async fn serve(
@@ -21,7 +21,7 @@
     let (id, mut queue) = core.borrow_mut().attach(edge, index);
     let hearing = Rc::clone(&core);
     let hears = tokio::task::spawn_local(async move {
-        while let Ok(Ok(Up::Beat(edge, _, reports))) =
+        while let Ok(Ok(Up::Beat(edge, _, reports, felt))) =
             tokio::time::timeout(Duration::from_secs(3), tidings::read::<Up>(&mut read)).await
         {
             let core = &mut *hearing.borrow_mut();
@@ -29,17 +29,16 @@
             if !reports.is_empty() {
                 core.reports(edge.id, edge.life, reports);
             }
+            core.felt(&edge, felt);
             core.registry.edge(now, edge, 0);
         }
         hearing.borrow_mut().detach(id);
     });
-    loop {
-        let next = tokio::time::timeout(PULSE, queue.recv()).await;
-        let bytes = match next {
-            Ok(Some(bytes)) => bytes,
-            Ok(None) => break,
-            Err(_) => Rc::new(frame(&core.borrow().pulse())),
-        };
+    while let Some((made, bytes)) = queue.recv().await {
+        // A pulse that has waited is no word on how things are; the next one is due.
+        if made.is_some_and(|made| core.borrow().now() > made + LATE) {
+            continue;
+        }
         if !core.borrow().attached(id) || tidings::write(&mut write, &bytes).await.is_err() {
             break;
         }
--- a/crates/tidings/src/lib.rs
+++ b/crates/tidings/src/lib.rs
@@ -3,6 +3,7 @@
 
 use milletwing_accord::{Id, Message};
 use milletwing_ledger::{Beat, Command, Heard, Still};
+use milletwing_suspicion::Felt;
 use milletwing_tenet::{tell, Settings};
 use milletwing_verity::Report;
 use serde::de::DeserializeOwned;
@@ -43,6 +44,8 @@
     Join,
     /// What an edge told of the trials under way: its number and life.
     Reports { edge: u32, life: u64, reports: Vec<Report> },
+    /// What the edges of this machine met at hosts since it told last, by edge, each with the milliseconds since.
+    Felt(Vec<(u32, u64, Vec<Felt>)>),
 }
 
 /// What a member passes on to the leader.
@@ -77,8 +80,8 @@
 /// From an edge.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Up {
-    /// It lives, has folded so much, and sees this of the trials under way.
-    Beat(Heard, u64, Vec<Report>),
+    /// It lives, has folded so much, sees this of the trials under way, and met this at hosts.
+    Beat(Heard, u64, Vec<Report>, Vec<Felt>),
 }
 
 /// To an edge.
@@ -89,8 +92,9 @@
     Whole(Vec<u8>),
     /// Entries in order, each with its index.
     Entries(Vec<(u64, Vec<u8>)>),
-    /// The core lives. `fresh`: it hears its leader; `cores`: all machines of the core; `edges`: how many take traffic.
-    Pulse { fresh: bool, index: u64, cores: Vec<Id>, edges: u32 },
+    /// The core lives. `fresh`: it hears its leader; `cores`: all machines of the core; `edges`: how many take traffic;
+    /// `loads`: of hosts, as far as they are new.
+    Pulse { fresh: bool, index: u64, cores: Vec<Id>, edges: u32, loads: Vec<(u32, u16)> },
 }
 
 /// The internal address of a core machine.
