Edges are checked against what the core agreed, named when they drift, and brought back

Cause: nobody knew whether an edge routes by what was agreed; fold() takes entries with a gap, so that one lost entry stays lost for an edge's life.

Ruled out: one digest of the state received (a table made wrongly from it would agree); a tree per entry (600 entries of one roll-out cost an edge of 0.1 cores a quarter of a second each way).

Decisions are sampled once a second and held against the configuration. Core machines compare digests; one that differs from most is no longer fresh. helm drift list, show, explain; two calls in the API's file.

--- a/crates/carrier/src/edge.rs
+++ b/crates/carrier/src/edge.rs
@@ -3,12 +3,16 @@
 use crate::pool::Pool;
 use milletwing_course::{Course, Place, Time};
 use milletwing_ledger::{Heard, View};
+use milletwing_mirror::{Digest, Reflection, Step};
 use milletwing_tenet::{tell, Settings};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::time::Instant;
 use tokio::sync::Notify;
 
+/// Milliseconds between two digests of the tables in use; with over a thousand marshals, one for each.
+const REFLECT: Time = 1_000;
+
 /// Shared by all tasks of the one thread; no borrow lives across an await.
 pub struct Edge {
     pub name: String,
@@ -21,6 +25,14 @@
     pub requests: Cell<usize>,
     /// It leaves: no new client should come.
     pub leaving: Cell<bool>,
+    /// It rests until the core finds that it routes by what was agreed.
+    resting: Cell<bool>,
+    /// The core has it end in order.
+    pub end: Notify,
+    /// What it routes by, to be told with the next beat; when that was made last; and whether it was asked for in whole.
+    pub reflection: Cell<Option<Reflection>>,
+    reflected: Cell<Time>,
+    pub asked: Cell<bool>,
     /// Idle connections close.
     pub close: Notify,
     /// What it says of itself has changed.
@@ -50,6 +62,11 @@
             connections: Cell::new(0),
             requests: Cell::new(0),
             leaving: Cell::new(false),
+            resting: Cell::new(false),
+            end: Notify::new(),
+            reflection: Cell::new(None),
+            reflected: Cell::new(0),
+            asked: Cell::new(false),
             close: Notify::new(),
             changed: Notify::new(),
             revision: Cell::new(0),
@@ -66,7 +83,7 @@
 
     /// Whether clients should come.
     pub fn ready(&self) -> bool {
-        !self.leaving.get() && self.course.borrow().ready()
+        !self.leaving.get() && !self.resting.get() && self.course.borrow().ready()
     }
 
     /// What the core is told.
@@ -88,6 +105,42 @@
         self.changed.notify_waiters();
     }
 
+    /// Makes the digest of the tables in use, where the last one is a second old; later where they are large, so that it
+    /// takes no more than a few thousandths of the processor.
+    pub fn reflect(&self, now: Time) {
+        let due =
+            self.reflected.get() + REFLECT.max(self.view.borrow().nodes.len() as Time * REFLECT / 1_000);
+        if now < due {
+            return;
+        }
+        self.reflected.set(now);
+        let mut digest = Digest::default();
+        self.course.borrow().reflect(&mut digest);
+        self.reflection.set(Some(Reflection { index: self.view.borrow().index, digest }));
+    }
+
+    /// Does what the core has decided, to be brought back.
+    pub fn heal(&self, step: Step) {
+        tell!(Heals, "{}", step.word());
+        match step {
+            Step::Back | Step::Rest => {
+                self.resting.set(step == Step::Rest);
+                self.changed.notify_waiters();
+            }
+            Step::End => self.end.notify_one(),
+            // The core's part: it sends again what lacks, or all.
+            Step::Again | Step::Renew => {}
+        }
+    }
+
+    /// The whole view has come anew: all tables are made from it.
+    pub fn renew(&self) {
+        tell!(Heals, "{}", Step::Renew.word());
+        self.course.borrow_mut().renew(self.now(), &self.view.borrow());
+        self.reflected.set(0);
+        self.refresh();
+    }
+
     /// The view has changed.
     pub fn refresh(&self) {
         let was = self.ready();
--- a/crates/carrier/src/feed.rs
+++ b/crates/carrier/src/feed.rs
@@ -3,8 +3,9 @@
 
 use crate::edge::Edge;
 use milletwing_ledger::{Command, View};
+use milletwing_mirror::Names;
 use milletwing_tenet::tell;
-use milletwing_tidings::{self as tidings, frame, place, Down, Greeting, Up};
+use milletwing_tidings::{self as tidings, frame, place, Down, Greeting, Said, Up};
 use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
@@ -20,8 +21,9 @@
 const BEAT: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(250));
 /// Hosts told of in one beat, at most.
 const MOST_FELT: usize = 256;
-/// Milliseconds on the way from the edge that was told of a load to this one: half a beat there, half a pulse here.
-const SHARED: u64 = 250;
+/// Milliseconds on the way from the edge that was told of a load to this one: half of a beat, of a round among the core's
+/// machines and of a pulse, and the links between.
+const SHARED: u64 = 400;
 /// A core machine that says nothing for so long is left; its pulse comes five times a second.
 const SILENCE: Duration = Duration::from_millis(900);
 /// One that doesn't hear its leader for so long is left.
@@ -89,12 +91,22 @@
             let felt = beating.course.borrow_mut().felt(MOST_FELT);
             trials = !reports.is_empty();
             // With nothing to tell, every second one is enough to say that it lives.
-            idle = if changed || trials || !felt.is_empty() { 0 } else { idle + 1 };
+            let reflection = beating.reflection.take();
+            let sample = beating.course.borrow_mut().sample();
+            let news = !felt.is_empty() || reflection.is_some() || beating.asked.get();
+            idle = if changed || trials || news { 0 } else { idle + 1 };
             if idle % 2 == 1 {
                 continue;
             }
-            let beat = frame(&Up::Beat(beating.heard(), beating.view.borrow().index, reports, felt));
-            if write.write_all(&beat).await.is_err() {
+            let (edge, index) = (beating.heard(), beating.view.borrow().index);
+            let said = Said { edge, index, reports, felt, reflection, sample };
+            let mut bytes = frame(&Up::Beat(Box::new(said)));
+            if beating.asked.replace(false) {
+                let mut names = Names::default();
+                beating.course.borrow().reflect(&mut names);
+                bytes.extend(frame(&Up::Names(names)));
+            }
+            if write.write_all(&bytes).await.is_err() {
                 return;
             }
         }
@@ -122,6 +134,16 @@
                 Ok(view) => whole(edge, view),
                 Err(problem) => break problem,
             },
+            Down::Renew(packed) => match View::unpacked(&packed) {
+                Ok(view) if view.index >= edge.view.borrow().index => {
+                    *edge.view.borrow_mut() = view;
+                    edge.renew();
+                }
+                Ok(_) => {} // within its life an edge never goes back
+                Err(problem) => break problem,
+            },
+            Down::Heal(step) => edge.heal(step),
+            Down::Names => edge.asked.set(true),
             Down::Entries(entries) => {
                 if let Err(problem) = fold(edge, entries) {
                     break problem;
@@ -141,9 +163,15 @@
                 }
                 *cores = all;
                 let now = edge.now();
-                let course = &mut *edge.course.borrow_mut();
-                course.edges(edges);
-                course.loads(now, &loads, SHARED);
+                {
+                    let course = &mut *edge.course.borrow_mut();
+                    course.edges(edges);
+                    course.loads(now, &loads, SHARED);
+                }
+                // The core has made its own digest as of this entry.
+                if index == edge.view.borrow().index {
+                    edge.reflect(now);
+                }
             }
         }
     };
--- a/crates/carrier/src/lib.rs
+++ b/crates/carrier/src/lib.rs
@@ -43,7 +43,11 @@
     if let Some(readiness) = readiness {
         tokio::task::spawn_local(front::readiness(Rc::clone(&edge), readiness));
     }
-    leave.await;
+    tokio::select! {
+        _ = leave => {}
+        // The core's last step to bring it back: the platform starts it again.
+        _ = edge.end.notified() => {}
+    }
     tell!(Term, "{} connections, {} requests", edge.connections.get(), edge.requests.get());
     // Out of the directory and readiness at once; who still comes is served, and told to come no more.
     edge.leave();
--- a/crates/carrier/src/relay.rs
+++ b/crates/carrier/src/relay.rs
@@ -146,6 +146,7 @@
     };
     let first =
         edge.course.borrow_mut().pick(edge.now(), &mut ticket).map_err(|kind| refuse(kind, Some(&route)))?;
+    edge.course.borrow_mut().note(edge.now(), [&id, &host, parts.uri.path()], &ticket, &first);
     let deadline = tokio::time::sleep(left(edge, ticket.deadline));
     let mut deadline = std::pin::pin!(deadline);
     let patience = edge.course.borrow().patience(&ticket, &first);
--- a/crates/course/src/course.rs
+++ b/crates/course/src/course.rs
@@ -5,13 +5,15 @@
 //! that the work for a request does not grow with the fleet.
 
 use crate::budget::Budget;
+use crate::intent;
 use crate::marshal::{Load, Marshal, Reach, Result as Ended};
 use crate::table::{Route, Table};
 use crate::trial::{Out, Trial};
 use crate::Time;
 use ahash::RandomState;
 use hashbrown::HashMap;
-use milletwing_ledger::{Phase, State, View};
+use milletwing_ledger::{State, View};
+use milletwing_mirror::{Sample, Sink};
 use milletwing_suspicion::Felt;
 use milletwing_tenet::settings::Guarantees;
 use milletwing_tenet::{Configuration, Kind};
@@ -104,6 +106,8 @@
 
 /// Weight of one word on a marshal's load in the mean over its service (ours).
 const OTHERS: f64 = 0.02;
+/// Characters of a host, path or id in a sample.
+const LONGEST: usize = 128;
 /// Milliseconds without a word from the core after which nothing more is exposed.
 const HEARD: Time = 2_000;
 
@@ -128,6 +132,9 @@
     /// When the core was heard last.
     heard: Time,
     sendings: u64,
+    /// A decision that the core has not been told yet, and when the next is due.
+    sampled: Option<Sample>,
+    next_sample: Time,
     chance: Pcg64Mcg,
 }
 
@@ -149,6 +156,8 @@
             edges: 8.0,
             heard: 0,
             sendings: 0,
+            sampled: None,
+            next_sample: 0,
             chance: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -177,6 +186,57 @@
 
     /// Takes what the core has agreed.
     pub fn refresh(&mut self, now: Time, view: &View) {
+        self.build(now, view, false);
+    }
+
+    /// Makes all tables anew from what the core has agreed, as if for the first time; what was counted and felt stays.
+    pub fn renew(&mut self, now: Time, view: &View) {
+        self.of = None;
+        self.hosts.clear();
+        self.services.values_mut().for_each(|service| service.trial = None);
+        self.build(now, view, true);
+    }
+
+    /// What it routes by, from the tables in use.
+    pub fn reflect(&self, sink: &mut impl Sink) {
+        self.table.reflect(sink);
+        // As picks find them: from the lists of each service.
+        for (name, service) in &self.services {
+            let listed = service.reach.iter().flatten().filter_map(|key| self.marshals.get(key));
+            let mut known = false;
+            for marshal in listed {
+                known = true;
+                let flags = (marshal.open, marshal.new, marshal.part.is_some());
+                intent::host(sink, &marshal.id, name, marshal.address, flags);
+                intent::deal(sink, &marshal.id, marshal.part.unwrap_or(0));
+            }
+            if let Some(trial) = service.trial.as_ref().filter(|_| known) {
+                intent::trial(sink, name, trial.number, trial.stage);
+            }
+        }
+    }
+
+    /// A decision to be told to the core, now and then.
+    pub fn sample(&mut self) -> Option<Sample> {
+        self.sampled.take()
+    }
+
+    /// Notes a first sending of a request, where one is due: by own chance, whatever the load. The request by its attempt id,
+    /// host and path.
+    pub fn note(&mut self, now: Time, request: [&str; 3], ticket: &Ticket, sending: &Sending) {
+        if now < self.next_sample {
+            return;
+        }
+        self.next_sample = now + self.chance.random_range(500..1_500);
+        let cut = |text: &str| text.chars().take(LONGEST).collect::<String>();
+        let [attempt, host, path] = request.map(cut);
+        let (route, service) = (cut(&ticket.route.name), sending.service.to_string());
+        let revision = self.of.as_ref().map_or(0, |of| of.revision);
+        self.sampled =
+            Some(Sample { revision, attempt, host, path, route, service, marshal: sending.id.to_string() });
+    }
+
+    fn build(&mut self, now: Time, view: &View, renew: bool) {
         if let Some(configuration) = view.configuration() {
             if self.of.as_ref().is_none_or(|of| !Arc::ptr_eq(of, configuration)) {
                 self.table = Table::new(configuration);
@@ -213,12 +273,12 @@
                 Reach::Far
             };
             let marshal = self.marshals.entry(key).or_insert_with(|| Marshal::new(node, region, reach, now));
+            if renew {
+                marshal.renew(Marshal::new(node, region, reach, now));
+            }
             self.hosts.insert(marshal.felt.host, key);
             marshal.phase(&node.phase, self.place.id);
-            marshal.new = view.trial(node).is_some();
-            marshal.open = node.phase != Phase::Draining
-                && !view.evacuated.contains_key(&node.zone)
-                && (marshal.new || view.in_service(node));
+            (marshal.open, marshal.new) = view.standing(node);
             let sessions =
                 self.of.as_ref().and_then(|it| it.targets.get(&node.target)).map_or(64, |it| it.max_sessions);
             let service = self.services.entry(Rc::from(node.target.as_str())).or_insert_with(|| Service {
--- a/crates/course/src/lib.rs
+++ b/crates/course/src/lib.rs
@@ -1,11 +1,12 @@
 //! What an edge decides for each request. No I/O: what arrived, what came of each sending and the time go in; a marshal to
 //! send to or the kind of an answer comes out.
 //!
-//! `table` finds the route, `marshal` is what is known of one marshal, `budget` counts further tries, `trial` is a version on trial, and `course` puts
+//! `table` finds the route, `marshal` is what is known of one marshal, `budget` counts further tries, `trial` is a version on trial, `intent` what it all should be, and `course` puts
 //! them together: pick, try again, or refuse.
 
 pub mod budget;
 pub mod course;
+pub mod intent;
 pub mod marshal;
 pub mod table;
 pub mod trial;
--- a/crates/course/src/marshal.rs
+++ b/crates/course/src/marshal.rs
@@ -111,6 +111,16 @@
 }
 
 impl Marshal {
+    /// Takes what is agreed of it from one made anew, and keeps what this edge counted and felt: what it has sent to a cold
+    /// one in the last second still counts.
+    pub fn renew(&mut self, fresh: Marshal) {
+        let sent = std::mem::take(&mut self.sent);
+        let (out, told, mean, bad) = (self.out, self.told, self.mean, self.bad);
+        let (avoid, trying, since, felt) = (self.avoid, self.trying, self.since, self.felt);
+        *self = Marshal { sent, out, told, mean, bad, avoid, trying, since, ..fresh };
+        self.felt = Felt { host: self.felt.host, ..felt };
+    }
+
     /// What was met there since the last call, if anything.
     pub fn tell(&mut self) -> Option<Felt> {
         let fresh = Felt { host: self.felt.host, ..Felt::default() };
--- a/crates/course/src/table.rs
+++ b/crates/course/src/table.rs
@@ -2,6 +2,7 @@
 
 use ahash::RandomState;
 use hashbrown::HashMap;
+use milletwing_mirror::{Part, Sink};
 use milletwing_tenet::configuration::Class;
 use milletwing_tenet::Configuration;
 use std::rc::Rc;
@@ -30,6 +31,20 @@
 }
 
 impl Route {
+    /// All that matters about it, under the host by which it is found.
+    fn reflect(&self, host: &str, sink: &mut impl Sink) {
+        let class = [crate::trial::place(self.class) as u8];
+        let numbers = [self.guard, self.target, u64::from(self.rank), u64::from(self.tries)];
+        let numbers = numbers.map(u64::to_be_bytes).concat();
+        let mut about: Vec<&[u8]> = vec![host.as_bytes(), self.prefix.as_bytes(), &class, &numbers];
+        let shares: Vec<[u8; 8]> = self.shares.iter().map(|(_, upto)| upto.to_be_bytes()).collect();
+        for ((service, _), upto) in self.shares.iter().zip(&shares) {
+            about.extend([service.as_bytes(), upto.as_slice()]);
+        }
+        about.extend(self.regions.iter().map(|region| region.as_bytes()));
+        sink.leaf(Part::Routes, &self.name, &about);
+    }
+
     /// The service for a draw from 0 to below 1.
     pub fn service(&self, draw: f64) -> Option<&Rc<str>> {
         let whole = self.shares.last().map_or(0.0, |(_, upto)| *upto);
@@ -77,6 +92,15 @@
         table
     }
 
+    /// All routes, as they are looked up.
+    pub fn reflect(&self, sink: &mut impl Sink) {
+        for (host, routes) in &self.hosts {
+            for route in routes {
+                route.reflect(host, sink);
+            }
+        }
+    }
+
     /// The route of a host and a path.
     pub fn find(&self, given: &str, path: &str) -> Option<&Rc<Route>> {
         let routes = match self.hosts.get(given) {
--- a/crates/helm/src/calls.rs
+++ b/crates/helm/src/calls.rs
@@ -65,14 +65,23 @@
     if_match: Option<&str>,
     body: Vec<u8>,
 ) -> Result<(), String> {
-    let mut core = word(given, "core").to_owned();
+    println!("{}", follow(word(given, "core"), method, path, if_match, body).await?);
+    Ok(())
+}
+
+/// A call that goes where it is sent on to. Gives the answer's text.
+pub async fn follow(
+    core: &str,
+    method: &str,
+    path: &str,
+    if_match: Option<&str>,
+    body: Vec<u8>,
+) -> Result<String, String> {
+    let mut core = core.to_owned();
     // Two machines further at most, as all callers of the core go.
     for _ in 0..3 {
         match once(&core, method, path, if_match, &body).await? {
-            Ok(text) => {
-                println!("{text}");
-                return Ok(());
-            }
+            Ok(text) => return Ok(text),
             Err(further) => core = further,
         }
     }
--- a/crates/helm/src/main.rs
+++ b/crates/helm/src/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod deploy;
 mod disk;
+mod drift;
 
 use clap::{Arg, ArgMatches, Command};
 use milletwing_tenet::Settings;
@@ -29,6 +30,11 @@
     };
     let file = || Arg::new("file").value_name("FILE").required(true);
     let called = |name: &'static str, about: &'static str| Command::new(name).about(about).arg(core_arg());
+    let json = |call: Command| {
+        call.arg(
+            Arg::new("json").long("json").action(clap::ArgAction::SetTrue).help("the core's answer as it is"),
+        )
+    };
     Command::new("helm")
         .about("milletwing's global load balancer")
         .version(env!("CARGO_PKG_VERSION"))
@@ -68,6 +74,20 @@
                 .subcommand(Command::new("check").about("Says whether it holds together").arg(file()))
                 .subcommand(Command::new("dump").about("All of it, as JSON").arg(file())),
         )
+        .subcommand(
+            Command::new("drift")
+                .about("Whether edges route by what was agreed")
+                .subcommand_required(true)
+                .subcommand(json(called("list", "All edges, with what was found of each")))
+                .subcommand(
+                    json(called("show", "One edge, and the steps to bring it back"))
+                        .arg(Arg::new("edge").value_name("EDGE").required(true).help("its address")),
+                )
+                .subcommand(
+                    json(called("explain", "What an edge decided for a request, where it was sampled"))
+                        .arg(Arg::new("attempt").value_name("REQUEST-ID").required(true)),
+                ),
+        )
         .subcommand(called("nodes", "Lists the marshals"))
         .subcommand(called("members", "How the core stands, as one of its machines sees it"))
 }
@@ -121,6 +141,7 @@
             }
             None => Err("check or dump is wanted".into()),
         },
+        Some(("drift", given)) => drift::call(given).await,
         Some((name, given)) => calls::call(name, given).await,
         None => Err("a call is wanted".into()),
     }
--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -1,5 +1,6 @@
 //! What an entry of the log says.
 
+use milletwing_mirror::Step;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 
@@ -62,6 +63,8 @@
     Stage { service: String, number: u64, stage: u32 },
     /// A roll-out ends: the new version stays, or goes back.
     Settle { service: String, number: u64, good: bool },
+    /// An edge that has drifted, in this life of it, is to be brought back by this step; and why.
+    Heal { edge: u32, life: u64, step: Step, why: String },
 }
 
 impl Command {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -8,4 +8,4 @@
 
 pub use command::{Command, Deal, Node, Phase};
 pub use registry::{Beat, Heard, Registry, Still};
-pub use view::{Emptied, Outcome, RollOut, State, View};
+pub use view::{Emptied, Heal, Outcome, RollOut, State, View};
--- a/crates/ledger/src/view.rs
+++ b/crates/ledger/src/view.rs
@@ -2,6 +2,7 @@
 
 use crate::command::{Command, Deal, Node, Phase};
 use crate::pack::{pack, unpack};
+use milletwing_mirror::Step;
 use milletwing_tenet::{Configuration, Kind};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -16,6 +17,8 @@
 const REMEMBERED: usize = 1024;
 /// Orders to empty a zone that are counted.
 const ORDERS: u32 = 3;
+/// Steps to bring edges back that are remembered.
+const HEALS: usize = 256;
 /// Marshals that have left remembered, so that a late beat doesn't bring one back.
 const LEFT: usize = 4096;
 
@@ -72,6 +75,21 @@
     pub stage: u32,
 }
 
+/// A step to bring an edge back, as it was agreed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heal {
+    /// Its entry.
+    pub index: u64,
+    /// The edge.
+    pub edge: u32,
+    /// Its life.
+    pub life: u64,
+    /// What it was to do.
+    pub step: Step,
+    /// Why.
+    pub why: String,
+}
+
 /// What became of an entry.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
@@ -102,6 +120,10 @@
     pub rollouts: BTreeMap<String, RollOut>,
     /// The version of each service that has its traffic.
     pub settled: BTreeMap<String, String>,
+    /// Steps to bring edges back, oldest first. Its bytes stand behind the others', so that a state that was written before
+    /// there were any is read as one without.
+    #[serde(skip)]
+    pub heals: VecDeque<Heal>,
     #[serde(skip)]
     read: Option<Arc<Configuration>>,
 }
@@ -109,7 +131,8 @@
 impl View {
     /// Its bytes.
     pub fn bytes(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default() // plain values can't fail
+        let bytes = postcard::to_stdvec(self).unwrap_or_default(); // plain values can't fail
+        postcard::to_extend(&self.heals, bytes).unwrap_or_default()
     }
 
     /// From its bytes; from none, the state before any entry.
@@ -117,7 +140,11 @@
         if bytes.is_empty() {
             return Ok(View::default());
         }
-        let mut view: View = postcard::from_bytes(bytes).map_err(|problem| format!("state: {problem}"))?;
+        let wrong = |problem| format!("state: {problem}");
+        let (mut view, rest): (View, &[u8]) = postcard::take_from_bytes(bytes).map_err(wrong)?;
+        if !rest.is_empty() {
+            view.heals = postcard::from_bytes(rest).map_err(wrong)?;
+        }
         if view.revision > 0 {
             view.read = Some(Arc::new(Configuration::read(&view.body).map_err(|kind| kind.to_string())?));
         }
@@ -189,6 +216,14 @@
                 Outcome::Done
             }
             Command::Settle { service, number, good } => self.settle(service, *number, *good),
+            Command::Heal { edge, life, step, why } => {
+                let (edge, life, step) = (*edge, *life, *step);
+                self.heals.push_back(Heal { index, edge, life, step, why: why.clone() });
+                if self.heals.len() > HEALS {
+                    self.heals.pop_front();
+                }
+                Outcome::Done
+            }
         }
     }
 
@@ -318,6 +353,19 @@
         (roll.state == State::Active && roll.to == node.revision && !self.in_service(node)).then_some(roll)
     }
 
+    /// Whether a marshal may be sent to as far as its phase, zone and version go; and whether its version is on trial.
+    pub fn standing(&self, node: &Node) -> (bool, bool) {
+        let new = self.trial(node).is_some();
+        let here = node.phase != Phase::Draining && !self.evacuated.contains_key(&node.zone);
+        (here && (new || self.in_service(node)), new)
+    }
+
+    /// Whether an edge rests until it is well again.
+    pub fn rests(&self, edge: u32, life: u64) -> bool {
+        let last = self.heals.iter().rev().find(|heal| (heal.edge, heal.life) == (edge, life));
+        last.is_some_and(|heal| matches!(heal.step, Step::Rest | Step::End))
+    }
+
     /// Whether a marshal's version has its service's traffic.
     pub fn in_service(&self, node: &Node) -> bool {
         self.settled.get(&node.target).is_none_or(|settled| *settled == node.revision)
--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -2,12 +2,14 @@
 //! heard of marshals and edges. Inputs come from links, the disk, callers and the clock; after each, `pump` does what has
 //! become possible.
 
+use crate::drift::Drift;
 use milletwing_accord::{Id, Mark, Member, Message, Options, Payload, Role};
 use milletwing_ledger::registry::Verdict;
 use milletwing_ledger::{Beat, Command, Heard, Outcome, Registry, RollOut, State, View};
+use milletwing_mirror::{Digest, Finding, Names, Order, Step};
 use milletwing_suspicion::{Board, Felt};
 use milletwing_tenet::{tell, Kind, Settings};
-use milletwing_tidings::{frame, Answer, Ask, Down, Peer};
+use milletwing_tidings::{frame, Answer, Ask, Down, Peer, Said};
 use milletwing_verity::{cap, pace, Move, Report, Tally, LAST};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -53,7 +55,11 @@
 pub type Word = (Option<Time>, Rc<Vec<u8>>);
 
 struct Feed {
+    edge: u32,
+    life: u64,
+    /// The last entry that it was sent, and the last that it said to have folded.
     sent: u64,
+    folded: u64,
     send: mpsc::Sender<Word>,
 }
 
@@ -91,6 +97,8 @@
     /// Loads of marshals as edges were told them; and what the edges of this machine met, for the others.
     board: Board,
     met: BTreeMap<u32, (u64, Time, Vec<Felt>)>,
+    /// Whether edges route by what was agreed.
+    pub drift: Drift,
     /// Edges as the others were told of them in whole, and when all were last.
     gossiped: BTreeMap<u32, Heard>,
     retold: Time,
@@ -129,6 +137,8 @@
         let founders = settings.own.initial_attach.then_some(seeds.as_slice());
         let member = Member::new(options, &writes.stored, founders, &seeds, 1)?;
         let view = View::unpacked(&member.snapshot().data)?;
+        // Half of what may pass until a change is in force: the rest is for the way here.
+        let lag = (settings.timers.guarantees.applyS * 500.0) as Time;
         let lost = member.lost();
         if lost {
             tell!(DiskLost, "{}: asks the others", settings.own.node_name);
@@ -155,6 +165,7 @@
             swept: 0,
             told: 0,
             beaten: 0,
+            drift: Drift::new(lag),
             board: Board::default(),
             met: BTreeMap::new(),
             gossiped: BTreeMap::new(),
@@ -273,6 +284,7 @@
             self.recent.clear();
             self.recent_bytes = 0;
         }
+        let mut heals = Vec::new();
         for entry in self.member.committed() {
             let (answer, bytes) = match entry.payload {
                 Payload::Data(bytes) => match Command::read(&bytes) {
@@ -282,6 +294,9 @@
                         if let Command::Settle { service, good: false, .. } = &command {
                             self.reverted.insert(service.clone(), self.now());
                         }
+                        if let Command::Heal { edge, life, step, .. } = &command {
+                            heals.push((*edge, *life, *step));
+                        }
                         if let Command::Evacuate { zone, on: true, .. } = &command {
                             self.emptied.insert(zone.clone(), self.now());
                         }
@@ -319,6 +334,9 @@
                 let _ = read.send(Answer::Done(index));
             }
         }
+        for (edge, life, step) in heals {
+            self.heal(edge, life, step);
+        }
         let ids: Vec<u64> =
             self.feeds.iter().filter(|(_, feed)| feed.sent < index).map(|(id, _)| *id).collect();
         for id in ids {
@@ -357,6 +375,9 @@
                 tell!(RollOut, "{service}: {revision} ordered")
             }
             (Command::Stage { service, stage, .. }, _) => tell!(RollOut, "{service}: stage {stage}"),
+            (Command::Heal { edge, step, why, .. }, _) => {
+                tell!(Heals, "{}: {}: {why}", std::net::Ipv4Addr::from_bits(*edge), step.word())
+            }
             (Command::Settle { service, good, .. }, _) => {
                 tell!(RollOut, "{service}: {}", if *good { "completed" } else { "reverted" })
             }
@@ -422,6 +443,12 @@
                         core.reports(edge, life, reports);
                     }
                 }
+                Peer::Drift { edge, life, zone, finding } => {
+                    if core.role == Role::Leader {
+                        core.drift.healer.told(now, edge, life, &zone, finding);
+                    }
+                }
+                Peer::Mirror(index, digest) => core.mirrored(now, from, index, &digest),
                 Peer::Felt(told) => {
                     for (_, ago, felt) in told {
                         core.board.take(now, &felt, ago);
@@ -472,6 +499,7 @@
             let mut commands = self.registry.sweep(now, &self.view, silence, &Core::cold_for(&self.view));
             commands.extend(self.judge(now));
             commands.extend(self.linger(now));
+            commands.extend(self.bring_back(now));
             for command in commands {
                 self.member.propose(now, command.bytes());
             }
@@ -484,6 +512,9 @@
         self.reads.retain(|_, read| !read.is_closed());
         self.calls.retain(|_, call| !call.is_closed());
         self.registry.forget(now);
+        for (edge, life) in self.drift.checker.silent(now) {
+            self.found(now, edge, life, Finding::Stuck);
+        }
         if !self.met.is_empty() {
             let met = std::mem::take(&mut self.met).into_iter();
             let told = met.map(|(edge, (_, at, felt))| (edge, now.saturating_sub(at), felt)).collect();
@@ -491,6 +522,9 @@
         }
         if now >= self.told + 500 {
             self.told = now;
+            if let Some((index, digest)) = self.drift.own() {
+                self.post_all(&Peer::Mirror(index, digest));
+            }
             let nodes = self.registry.news();
             // Guards against a machine that has just come up, or whose link lost a message: now and then all is told again.
             if now >= self.retold + RETELL {
@@ -568,6 +602,14 @@
         serde_json::json!({"leads": self.role == Role::Leader, "trials": rows.collect::<Vec<_>>()})
     }
 
+    /// Whether edges route by what was agreed; complete where this machine leads.
+    pub fn drifted(&self) -> serde_json::Value {
+        let now = self.now();
+        let heard: Vec<(u32, String, Time)> =
+            self.registry.edges(now).map(|(edge, ago)| (edge.id, edge.zone.clone(), ago)).collect();
+        self.drift.tell(now, &self.view, &heard)
+    }
+
     /// What an edge tells of the trials: to whoever leads.
     pub fn reports(&mut self, edge: u32, life: u64, reports: Vec<Report>) {
         let now = self.now();
@@ -582,9 +624,96 @@
         }
     }
 
-    /// What an edge of this machine met at hosts.
-    pub fn felt(&mut self, edge: &Heard, felt: Vec<Felt>) {
+    /// An edge's beat.
+    pub fn beaten(&mut self, id: u64, said: Said) {
         let now = self.now();
+        let Said { edge, index, reports, felt, reflection, sample } = said;
+        if let Some(feed) = self.feeds.get_mut(&id) {
+            feed.folded = index;
+        }
+        if !reports.is_empty() {
+            self.reports(edge.id, edge.life, reports);
+        }
+        self.felt(now, &edge, felt);
+        let fresh = self.member.fresh(now, FRESH) && !self.member.lost();
+        let findings = self.drift.beat(now, &self.view, (edge.id, index), reflection, sample, fresh);
+        let (number, life) = (edge.id, edge.life);
+        self.registry.edge(now, edge, 0);
+        for finding in findings {
+            if matches!(finding, Finding::Partial(_)) {
+                if let Some(feed) = self.feeds.get(&id) {
+                    let _ = feed.send.try_send((None, Rc::new(frame(&Down::Names))));
+                    // it will be asked again
+                }
+            }
+            self.found(now, number, life, finding);
+        }
+    }
+
+    /// What an edge routes by, thing by thing: for operators, where it differs.
+    pub fn named(&mut self, id: u64, names: &Names) {
+        let Some(edge) = self.feeds.get(&id).map(|feed| feed.edge) else { return };
+        let differences = self.drift.compare(&self.view, edge, names);
+        if !differences.is_empty() {
+            tell!(Drifted, "{}: {}", std::net::Ipv4Addr::from_bits(edge), differences.join(", "));
+        }
+    }
+
+    /// What this machine found of an edge that it tells: to whoever leads.
+    fn found(&mut self, now: Time, edge: u32, life: u64, finding: Finding) {
+        let zone = self.registry.edges(now).find(|(it, _)| it.id == edge).map(|(it, _)| it.zone.clone());
+        let zone = zone.unwrap_or_default();
+        if self.role == Role::Leader {
+            self.drift.healer.told(now, edge, life, &zone, finding);
+        } else if let Some(leader) = self.leader {
+            self.post(leader, &Peer::Drift { edge, life, zone, finding });
+        }
+    }
+
+    /// What follows for edges that have drifted.
+    fn bring_back(&mut self, now: Time) -> Vec<Command> {
+        let ready = self.registry.ready(now).into_iter();
+        let ready: Vec<(u32, String)> = ready
+            .filter(|edge| !self.view.rests(edge.id, edge.life))
+            .map(|edge| (edge.id, edge.zone.clone()))
+            .collect();
+        let orders = self.drift.step(now, &ready);
+        orders
+            .into_iter()
+            .map(|Order { edge, life, step, why }| Command::Heal { edge, life, step, why })
+            .collect()
+    }
+
+    /// A step that was agreed, for an edge that this machine tells.
+    fn heal(&mut self, edge: u32, life: u64, step: Step) {
+        let of = |feed: &Feed| (feed.edge, feed.life) == (edge, life);
+        let Some(id) = self.feeds.iter().find(|(_, feed)| of(feed)).map(|(id, _)| *id) else { return };
+        let Some(feed) = self.feeds.get_mut(&id) else { return };
+        match step {
+            Step::Again => feed.sent = feed.folded.min(feed.sent),
+            Step::Renew => {
+                feed.sent = self.view.index;
+                let whole = Down::Renew(self.view.packed());
+                if feed.send.try_send((None, Rc::new(frame(&whole)))).is_err() {
+                    self.feeds.remove(&id); // it takes nothing: it will dial anew
+                }
+            }
+            Step::Back | Step::Rest | Step::End => {
+                let _ = feed.send.try_send((None, Rc::new(frame(&Down::Heal(step)))));
+                // the next step is due if it is lost
+            }
+        }
+    }
+
+    /// Another machine of the core says what its entries make.
+    fn mirrored(&mut self, now: Time, from: Id, index: u64, digest: &Digest) {
+        if self.drift.mirrored(now, from, index, digest) {
+            tell!(CoreDiffers, "{}, as of entry {index}", std::net::Ipv4Addr::from_bits(from));
+        }
+    }
+
+    /// What an edge of this machine met at hosts.
+    fn felt(&mut self, now: Time, edge: &Heard, felt: Vec<Felt>) {
         if felt.is_empty() {
             return;
         }
@@ -786,15 +915,21 @@
         let (send, queue) = mpsc::channel(256);
         self.next += 1;
         let (id, now) = (self.next, self.now());
+        self.drift.checker.attach(now, edge.id, edge.life);
+        self.feeds.insert(id, Feed { edge: edge.id, life: edge.life, sent: index, folded: index, send });
         self.registry.edge(now, edge, 0);
-        self.feeds.insert(id, Feed { sent: index, send });
         self.feed(id);
         (id, queue)
     }
 
     /// An edge's connection has ended.
     pub fn detach(&mut self, id: u64) {
-        self.feeds.remove(&id);
+        if let Some(feed) = self.feeds.remove(&id) {
+            let other = self.feeds.values().any(|it| (it.edge, it.life) == (feed.edge, feed.life));
+            if !other {
+                self.drift.checker.detach(feed.edge, feed.life);
+            }
+        }
     }
 
     /// Whether an edge's connection still counts: one that doesn't take what it is sent is ended.
@@ -833,6 +968,7 @@
     /// that a word is never old when it arrives.
     fn pulse(&mut self, now: Time) {
         let loads = self.board.news(now);
+        self.drift.reflect(now, &self.view);
         let bytes = Rc::new(frame(&self.pulsed(now, loads)));
         for feed in self.feeds.values() {
             if feed.send.capacity() == feed.send.max_capacity() {
@@ -846,7 +982,7 @@
         if cores.is_empty() {
             cores.push(self.settings.id());
         }
-        let fresh = self.member.fresh(now, FRESH) && !self.member.lost();
+        let fresh = self.member.fresh(now, FRESH) && !self.member.lost() && !self.drift.odd(now);
         let edges = self.registry.ready(now).len() as u32;
         Down::Pulse { fresh, index: self.view.index, cores, edges, loads }
     }
@@ -871,7 +1007,7 @@
         let all: Vec<&Heard> = self
             .registry
             .edges(now)
-            .filter(|(edge, ago)| edge.ready && *ago <= reach)
+            .filter(|(edge, ago)| edge.ready && *ago <= reach && !self.view.rests(edge.id, edge.life))
             .map(|(edge, _)| edge)
             .collect();
         let near: Vec<&Heard> = all.iter().copied().filter(|edge| edge.region == region).collect();
--- a/crates/steward/src/feeds.rs
+++ b/crates/steward/src/feeds.rs
@@ -21,16 +21,14 @@
     let (id, mut queue) = core.borrow_mut().attach(edge, index);
     let hearing = Rc::clone(&core);
     let hears = tokio::task::spawn_local(async move {
-        while let Ok(Ok(Up::Beat(edge, _, reports, felt))) =
+        while let Ok(Ok(up)) =
             tokio::time::timeout(Duration::from_secs(3), tidings::read::<Up>(&mut read)).await
         {
             let core = &mut *hearing.borrow_mut();
-            let now = core.now();
-            if !reports.is_empty() {
-                core.reports(edge.id, edge.life, reports);
+            match up {
+                Up::Beat(said) => core.beaten(id, *said),
+                Up::Names(names) => core.named(id, &names),
             }
-            core.felt(&edge, felt);
-            core.registry.edge(now, edge, 0);
         }
         hearing.borrow_mut().detach(id);
     });
--- a/crates/steward/src/front.rs
+++ b/crates/steward/src/front.rs
@@ -35,6 +35,8 @@
     ("GET", "/milletwing/resolution"),
     ("GET", "/milletwing/members"),
     ("GET", "/milletwing/trials"),
+    ("GET", "/milletwing/drift"),
+    ("GET", "/milletwing/decisions/{attempt}"),
 ];
 
 /// How long a caller waits before it goes elsewhere, less the way back.
@@ -169,7 +171,9 @@
         (&Method::DELETE, ["evacuation", zone]) => evacuate(&core, zone, false).await,
         (&Method::GET, ["resolution"]) => Ok(resolve(&core, &request)),
         (&Method::GET, ["members"]) => Ok(members(&core)),
-        (&Method::GET, ["trials"]) => Ok(trials(&core)),
+        (&Method::GET, ["trials"]) => Ok(at_leader(&core, "trials", core.borrow().trials())),
+        (&Method::GET, ["drift"]) => Ok(at_leader(&core, "drift", core.borrow().drifted())),
+        (&Method::GET, ["decisions", attempt]) if !attempt.is_empty() => Ok(decisions(&core, attempt)),
         _ => Err(other_method(&parts)),
     };
     let mut reply = result.unwrap_or_else(|kind| refused(&kind));
@@ -317,23 +321,29 @@
     reply(200, json!({ "addresses": addresses, "ttlS": ttl }).to_string())
 }
 
-/// The evidence is the leader's: others say where it is. All machines use the same ports.
-fn trials(core: &Shared) -> Reply {
+/// What the leader knows best: others say where it is, with what they know. All machines use the same ports.
+fn at_leader(core: &Shared, what: &str, known: serde_json::Value) -> Reply {
     let core = core.borrow();
     let leader = core.member.leader().filter(|leader| *leader != core.settings.id());
     match (leader, core.settings.binding("controlPlane")) {
         (Some(leader), Ok(own)) => {
             let place = milletwing_tidings::place(leader, own.port());
-            let mut reply = reply(307, core.trials().to_string());
-            if let Ok(place) = HeaderValue::from_str(&format!("http://{place}/milletwing/trials")) {
+            let mut reply = reply(307, known.to_string());
+            if let Ok(place) = HeaderValue::from_str(&format!("http://{place}/milletwing/{what}")) {
                 reply.headers_mut().insert(LOCATION, place);
             }
             reply
         }
-        _ => reply(200, core.trials().to_string()),
+        _ => reply(200, known.to_string()),
     }
 }
 
+/// Each machine knows the decisions that its own edges told it.
+fn decisions(core: &Shared, attempt: &str) -> Reply {
+    let core = core.borrow();
+    reply(200, json!({ "decisions": core.drift.explain(core.now(), attempt) }).to_string())
+}
+
 fn members(core: &Shared) -> Reply {
     let core = core.borrow();
     let now = core.now();
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -1,9 +1,10 @@
 //! The program of the core. `core` owns the agreement, the state folded from its log and what was heard of marshals and
-//! edges; `disk` is the thread that writes, `links` the connections to other core machines, `feeds` those of edges, and
+//! edges; `drift` whether edges route by it, `disk` is the thread that writes, `links` the connections to other core machines, `feeds` those of edges, and
 //! `front` the calls of marshals, operators and clients. All but the disk share one thread.
 
 mod core;
 mod disk;
+mod drift;
 mod feeds;
 mod front;
 mod links;
--- a/crates/tidings/src/lib.rs
+++ b/crates/tidings/src/lib.rs
@@ -3,6 +3,7 @@
 
 use milletwing_accord::{Id, Message};
 use milletwing_ledger::{Beat, Command, Heard, Still};
+use milletwing_mirror::{Digest, Finding, Names, Reflection, Sample, Step};
 use milletwing_suspicion::Felt;
 use milletwing_tenet::{tell, Settings};
 use milletwing_verity::Report;
@@ -44,6 +45,10 @@
     Join,
     /// What an edge told of the trials under way: its number and life.
     Reports { edge: u32, life: u64, reports: Vec<Report> },
+    /// What a machine found of an edge that it tells, in this life and zone of it.
+    Drift { edge: u32, life: u64, zone: String, finding: Finding },
+    /// The digest of what the entries up to this one make.
+    Mirror(u64, Digest),
     /// What the edges of this machine met at hosts since it told last, by edge, each with the milliseconds since.
     Felt(Vec<(u32, u64, Vec<Felt>)>),
 }
@@ -80,8 +85,27 @@
 /// From an edge.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Up {
-    /// It lives, has folded so much, sees this of the trials under way, and met this at hosts.
-    Beat(Heard, u64, Vec<Report>, Vec<Felt>),
+    /// It lives.
+    Beat(Box<Said>),
+    /// What it routes by, thing by thing, as it was asked for.
+    Names(Names),
+}
+
+/// What an edge says of itself with a beat.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Said {
+    /// Who it is.
+    pub edge: Heard,
+    /// The last entry that it has folded.
+    pub index: u64,
+    /// What it sees of the trials under way.
+    pub reports: Vec<Report>,
+    /// What it met at hosts.
+    pub felt: Vec<Felt>,
+    /// What it routes by, about once a second.
+    pub reflection: Option<Reflection>,
+    /// A decision of its own, now and then.
+    pub sample: Option<Sample>,
 }
 
 /// To an edge.
@@ -90,6 +114,12 @@
 pub enum Down {
     /// The whole state, packed against nothing.
     Whole(Vec<u8>),
+    /// The whole state in place of the one it has, to make all tables anew.
+    Renew(Vec<u8>),
+    /// Another step to bring it back.
+    Heal(Step),
+    /// What does it route by, thing by thing?
+    Names,
     /// Entries in order, each with its index.
     Entries(Vec<(u64, Vec<u8>)>),
     /// The core lives. `fresh`: it hears its leader; `cores`: all machines of the core; `edges`: how many take traffic;
