A host that is not there is no evidence on the version that it ran

A zone went dark at 11.9 s just as it was taken back: v1's marshals there were cold and had no requests, v2's had; what broke off there scored 1 against v2 (course.rs, ended; trial.rs, report).

Ruled out: v2's own answers (no 500), the configuration and the core machine started anew at 10.7 s.

Change: a sending is no outcome where its marshal answered nothing since it went out and no connection comes up, or bytes stay unacknowledged for half a second; a time-out that counted before is taken back. Hanging processes are judged still.

--- a/crates/course/src/course.rs
+++ b/crates/course/src/course.rs
@@ -529,7 +529,11 @@
             _ => None,
         };
         if let Some(trial) = self.services.get_mut(&sending.service).and_then(|it| it.trial.as_mut()) {
-            trial.ended(now, sending.number, bad);
+            if marshal.dead(result, sending.at, took) {
+                trial.void(sending.number);
+            } else {
+                trial.ended(now, sending.number, bad);
+            }
         }
         let avoided = marshal.end(now, result, took, load);
         if let (Some(_), Some(service)) = (load, self.services.get_mut(&sending.service)) {
@@ -547,8 +551,15 @@
 
     /// A client left while a sending was out.
     pub fn dropped(&mut self, now: Time, sending: &Sending) {
+        let took = now.saturating_sub(sending.at);
+        let dead =
+            self.marshals.get(&sending.marshal).is_some_and(|it| it.dead(Ended::Dropped, sending.at, took));
         if let Some(trial) = self.services.get_mut(&sending.service).and_then(|it| it.trial.as_mut()) {
-            trial.ended(now, sending.number, None);
+            if dead {
+                trial.void(sending.number);
+            } else {
+                trial.ended(now, sending.number, None);
+            }
         }
         if let Some(marshal) = self.marshals.get_mut(&sending.marshal) {
             marshal.end(now, Ended::Dropped, 0, None);
--- a/crates/course/src/marshal.rs
+++ b/crates/course/src/marshal.rs
@@ -65,6 +65,8 @@
 /// What one that turns requests away is taken to hold, as a multiple of what it works on at once: the least at which any
 /// request is refused, so that what goes first is still sent there where nothing better is left.
 const FULL: f64 = 2.0;
+/// Milliseconds without a sign that bytes arrive, after which a connection that breaks tells of a host that is not there.
+const UNHEARD: Time = 500;
 /// The first and the longest time for which one that can't be reached is avoided, in milliseconds.
 const AVOID: (Time, Time) = (400, 3_200);
 
@@ -106,6 +108,10 @@
     /// Avoided until then, how often in a row, and whether a first request is out after that.
     avoid: (Time, u32),
     trying: bool,
+    /// When it gave an answer last, of whatever kind.
+    answered: Time,
+    /// No connection came up since then.
+    unreached: bool,
     /// When it first took its part, for those that were never tried.
     pub since: Time,
 }
@@ -117,7 +123,8 @@
         let sent = std::mem::take(&mut self.sent);
         let (out, told, mean, bad) = (self.out, self.told, self.mean, self.bad);
         let (avoid, trying, since, felt) = (self.avoid, self.trying, self.since, self.felt);
-        *self = Marshal { sent, out, told, mean, bad, avoid, trying, since, ..fresh };
+        let (answered, unreached) = (self.answered, self.unreached);
+        *self = Marshal { sent, out, told, mean, bad, avoid, trying, answered, unreached, since, ..fresh };
         self.felt = Felt { host: self.felt.host, ..felt };
     }
 
@@ -153,6 +160,8 @@
             bad: (0.0, now),
             avoid: (0, 0),
             trying: false,
+            answered: 0,
+            unreached: false,
             since: now,
         }
     }
@@ -165,6 +174,19 @@
         };
     }
 
+    /// Whether the end of a sending that went out then says something of this marshal's version, or only that the host is not
+    /// there.
+    pub fn dead(&self, result: Result, since: Time, took: Time) -> bool {
+        let lost = match result {
+            Result::Unreached => true,
+            // Nothing that was sent arrived there for so long; a process that hangs still takes bytes.
+            Result::Broken => self.unreached || took >= UNHEARD,
+            Result::Silent | Result::Dropped => self.unreached,
+            Result::Served | Result::Failed | Result::TurnedAway | Result::Moved | Result::Unsent => false,
+        };
+        lost && self.answered < since
+    }
+
     /// Whether it may be sent a request now. `first`: it may run twice, so that a marshal that failed may be tried by it.
     pub fn takes(&mut self, now: Time, first: bool) -> bool {
         if !self.open || now < self.avoid.0 {
@@ -252,6 +274,10 @@
             self.told = (others.max(0.0), now);
             self.felt.load = u16::try_from((load.running + load.waiting).saturating_sub(1)).ok();
         }
+        if matches!(result, Result::Served | Result::Failed | Result::TurnedAway) {
+            (self.answered, self.unreached) = (now, false);
+        }
+        self.unreached |= result == Result::Unreached;
         let felt = &mut self.felt;
         match result {
             Result::Served | Result::TurnedAway => felt.good = felt.good.saturating_add(1),
--- a/crates/course/src/trial.rs
+++ b/crates/course/src/trial.rs
@@ -137,6 +137,16 @@
         }
     }
 
+    /// A sending ended at a marshal that has answered nothing since it went out: a host without power, or cut off, says nothing
+    /// of its version. Guards against sending a good version back because it has more of its marshals in a zone that was
+    /// lost; if it counted as timed out before that showed, it doesn't any more.
+    pub fn void(&mut self, number: u64) {
+        let Some(out) = self.out.remove(&number).filter(|out| out.late) else { return };
+        if !out.new || out.scored {
+            self.sums[place(out.class)][usize::from(out.new)].take_back(1.0, out.covariate);
+        }
+    }
+
     /// A sending ended; `bad`: nothing where its end is no outcome.
     pub fn ended(&mut self, now: Time, number: u64, bad: Option<bool>) {
         let Some(out) = self.out.remove(&number) else { return };
--- a/crates/course/tests/decisions.rs
+++ b/crates/course/tests/decisions.rs
@@ -397,3 +397,50 @@
     assert_eq!((of.good, of.bad, of.lost, of.load), (1, 0, 0, Some(5)), "itself has left");
     assert!(course.felt(100).is_empty());
 }
+
+/// Half of the new version's marshals stand in a zone that goes dark, none of the earlier one's: what breaks off there for want
+/// of an answer tells nothing of the version. One that hangs, though its host takes connections, is judged.
+#[test]
+fn a_zone_that_goes_dark_is_no_evidence_on_a_version() {
+    for hangs in [false, true] {
+        let mut view = view(12);
+        view.apply(100, &Command::RollOut { service: "s".into(), revision: "v22".into(), period_ms: 15_000 });
+        for at in 0..12 {
+            view.apply(101 + at as u64, &Command::NodeUp(node(at, "v22", Phase::Warm)));
+        }
+        let mut course = edge(1, &view, 1, 1);
+        let lost = |id: &str| {
+            id.starts_with("i-v22-") && id.rsplit('-').next().unwrap().parse::<u32>().unwrap() % 4 < 2
+        };
+        let mut out: Vec<(Time, Ticket, milletwing_course::Sending, Ended)> = Vec::new();
+        for now in 4_000..12_000 {
+            course.heard(now);
+            out.sort_by_key(|(due, ..)| std::cmp::Reverse(*due));
+            while out.last().is_some_and(|(due, ..)| *due <= now) {
+                let (_, mut ticket, sending, end) = out.pop().unwrap();
+                course.ended(now, &mut ticket, &sending, end, None);
+            }
+            if now % 100 == 0 {
+                course.reports(now); // time-outs count as they happen
+            }
+            let mut ticket = arrive(&mut course, now, "/look/x");
+            let Ok(sending) = course.pick(now, &mut ticket) else { continue };
+            let (due, end) = match (now >= 9_000 && lost(&sending.id), hangs) {
+                (false, _) => (now + 40, Ended::Served),
+                // On a connection that was open: 0.7 s without a sign that bytes arrive; on a new one none comes up.
+                (true, false) if now % 2 == 0 => (now + 700, Ended::Broken),
+                (true, false) => (now + 350, Ended::Unreached),
+                (true, true) => (now + 2_000, Ended::Silent),
+            };
+            out.push((due, ticket, sending, end));
+        }
+        out.sort_by_key(|(due, ..)| *due);
+        for (due, mut ticket, sending, end) in out {
+            course.ended(due, &mut ticket, &sending, end, None);
+        }
+        let report = &course.reports(15_000)[0];
+        let [old, new] = report.sums[0];
+        assert!(new.n > 100.0 && old.y == 0.0, "{} of the new, {} bad of the old", new.n, old.y);
+        assert_eq!(new.y > 20.0, hangs, "{} bad of {}", new.y, new.n);
+    }
+}
--- a/crates/verity/src/sums.rs
+++ b/crates/verity/src/sums.rs
@@ -26,6 +26,10 @@
     pub fn add(&mut self, y: f64, x: f64) {
         *self = self.plus(&Sums { n: 1.0, y, x, yy: y * y, xx: x * x, xy: x * y });
     }
+    /// Takes back a unit that was added.
+    pub fn take_back(&mut self, y: f64, x: f64) {
+        *self = self.plus(&Sums { n: -1.0, y: -y, x: -x, yy: -y * y, xx: -x * x, xy: -x * y });
+    }
     /// Turns the score of a unit at the mean covariate from 0 to 1, if one is left.
     pub fn flip(&mut self) {
         if self.y < self.n {
