Hosts that edges find gone are taken out by agreement, and come back by looks

Ruled out: a shorter silence of beats (a marshal whose beats are lost is no dead one); each edge avoiding by what one other says (one bad view would spread).

Change: suspicion/tally: two edges, from two zones where edges stand in two, none that finds most hosts gone, no answer to anyone since; two fifths of a service at most; not on trial, cold, leaving or emptied. On the core's record (Suspect, Trust). Looks by two edges, others each time, after 2 s, doubled to 16 s. helm suspects list, show.

--- a/crates/course/src/course.rs
+++ b/crates/course/src/course.rs
@@ -81,6 +81,8 @@
 struct Service {
     /// Marshals by reach.
     reach: [Vec<u64>; 3],
+    /// Those that are taken out, and that this edge looks at.
+    looks: Vec<u64>,
     budget: Budget,
     /// Milliseconds of an answer, by route.
     usual: f64,
@@ -254,6 +256,7 @@
         let window = (self.bounds.retryWindowS * 1000.0) as Time;
         for service in self.services.values_mut() {
             service.reach.iter_mut().for_each(Vec::clear);
+            service.looks.clear();
         }
         for (id, node) in &view.nodes {
             let key = match self.keys.get(id) {
@@ -279,10 +282,12 @@
             self.hosts.insert(marshal.felt.host, key);
             marshal.phase(&node.phase, self.place.id);
             (marshal.open, marshal.new) = view.standing(node);
+            marshal.look = view.suspected.get(id).is_some_and(|looks| looks.contains(&self.place.id));
             let sessions =
                 self.of.as_ref().and_then(|it| it.targets.get(&node.target)).map_or(64, |it| it.max_sessions);
             let service = self.services.entry(Rc::from(node.target.as_str())).or_insert_with(|| Service {
                 reach: Default::default(),
+                looks: Vec::new(),
                 budget: Budget::new(window),
                 usual: 50.0,
                 others: 0.0,
@@ -291,6 +296,9 @@
             });
             service.connections = sessions;
             service.reach[reach as usize].push(key);
+            if view.suspected.get(id).is_some_and(|looks| looks.contains(&self.place.id)) {
+                service.looks.push(key);
+            }
         }
         self.trials(now, view);
     }
@@ -438,7 +446,12 @@
             }
         };
         let side = tried.then_some(wanted);
-        for reach in &service.reach {
+        if ticket.sent == 0 {
+            // A look is a request that goes there first, so that it is known soon.
+            service.looks.iter().for_each(|key| weigh(*key, side, &mut best, &mut full));
+        }
+        let looks = best.is_some();
+        for reach in service.reach.iter().filter(|_| !looks) {
             if reach.len() <= 2 {
                 reach.iter().for_each(|key| weigh(*key, side, &mut best, &mut full));
             } else {
--- a/crates/course/src/marshal.rs
+++ b/crates/course/src/marshal.rs
@@ -89,6 +89,8 @@
     pub reach: Reach,
     /// May be sent to as far as its zone, version and phase go.
     pub open: bool,
+    /// Taken out by agreement, and this edge looks at it: repeatable requests, one at a time.
+    pub look: bool,
     /// Its version is on trial.
     pub new: bool,
     /// What this edge may send in any second while it is cold; none: no such bound.
@@ -150,6 +152,7 @@
             capacity: f64::from(node.capacity.max(1)),
             reach,
             open: false,
+            look: false,
             new: false,
             part: None,
             sent: VecDeque::new(),
@@ -189,7 +192,10 @@
 
     /// Whether it may be sent a request now. `first`: it may run twice, so that a marshal that failed may be tried by it.
     pub fn takes(&mut self, now: Time, first: bool) -> bool {
-        if !self.open || now < self.avoid.0 {
+        if !self.open {
+            return self.look && first && !self.trying && self.out == 0 && now >= self.avoid.0;
+        }
+        if now < self.avoid.0 {
             return false;
         }
         // After it could not be reached, one request at a time finds out, and none that may not run twice.
@@ -262,7 +268,7 @@
         if self.part.is_some() {
             self.sent.push_back(now);
         }
-        self.trying = self.avoid.1 > 0;
+        self.trying = self.avoid.1 > 0 || self.look;
     }
 
     /// What came of it. Gives the milliseconds for which it is avoided, where that begins.
--- a/crates/helm/src/drift.rs
+++ b/crates/helm/src/drift.rs
@@ -60,6 +60,39 @@
     Ok(())
 }
 
+/// Prints who is taken out, or found gone, by whom.
+pub async fn suspects(given: &ArgMatches) -> Result<(), String> {
+    let Some((name, given)) = given.subcommand() else { return Err("list or show is wanted".into()) };
+    let word = |name: &str| given.get_one::<String>(name).map_or("", String::as_str);
+    let mut known = read(word("core"), "/milletwing/suspects").await?;
+    let mut hosts = known["suspects"].as_array_mut().map(std::mem::take).unwrap_or_default();
+    if name == "show" {
+        hosts.retain(|it| it["marshal"].as_str() == Some(word("marshal")));
+        if hosts.is_empty() {
+            return Err(format!("{}: nobody suspects {}", word("core"), word("marshal")));
+        }
+    }
+    if given.get_flag("json") {
+        println!("{:#}", Value::from(hosts));
+        return Ok(());
+    }
+    for it in hosts {
+        let list =
+            |name: &str| it[name].as_array().into_iter().flatten().map(text).collect::<Vec<_>>().join(" ");
+        let out = if it["out"] == Value::Bool(true) { "taken out" } else { "in rotation" };
+        let answered = it["answeredMs"].as_u64().map_or("never".into(), |ms| format!("{ms} ms ago"));
+        println!(
+            "{} of {} in {}: {out}; found gone by: {}; looked at by: {}; answered anyone: {answered}",
+            text(&it["marshal"]),
+            text(&it["service"]),
+            text(&it["zone"]),
+            list("foundGoneBy"),
+            list("lookedAtBy")
+        );
+    }
+    Ok(())
+}
+
 fn text(value: &Value) -> &str {
     value.as_str().unwrap_or("?")
 }
--- a/crates/helm/src/main.rs
+++ b/crates/helm/src/main.rs
@@ -88,6 +88,16 @@
                         .arg(Arg::new("attempt").value_name("REQUEST-ID").required(true)),
                 ),
         )
+        .subcommand(
+            Command::new("suspects")
+                .about("Marshals that are taken out by agreement, or that edges find gone")
+                .subcommand_required(true)
+                .subcommand(json(called("list", "All of them")))
+                .subcommand(
+                    json(called("show", "One of them"))
+                        .arg(Arg::new("marshal").value_name("MARSHAL").required(true).help("its id")),
+                ),
+        )
         .subcommand(called("nodes", "Lists the marshals"))
         .subcommand(called("members", "How the core stands, as one of its machines sees it"))
 }
@@ -142,6 +152,7 @@
             None => Err("check or dump is wanted".into()),
         },
         Some(("drift", given)) => drift::call(given).await,
+        Some(("suspects", given)) => drift::suspects(given).await,
         Some((name, given)) => calls::call(name, given).await,
         None => Err("a call is wanted".into()),
     }
--- a/crates/helm/tests/whole.rs
+++ b/crates/helm/tests/whole.rs
@@ -470,6 +470,17 @@
             assert!(!said.0 && said.1.contains(path), "{}", said.1);
         }
     }
+    assert!(place.helm(&["suspects", "list", "--core", &core]).0);
+    assert!(place
+        .helm(&["suspects", "show", "--core", &core, "i-none"])
+        .1
+        .contains("nobody suspects i-none"));
+    assert!(place.helm(&["drift", "list", "--core", &core]).1.contains("digests:"));
+    assert!(place
+        .helm(&["drift", "show", "--core", &core, "10.9.9.9"])
+        .1
+        .contains("there is no edge 10.9.9.9"));
+    assert!(place.helm(&["drift", "explain", "--core", &core, "nobody"]).1.contains("was not sampled"));
     let deploy = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/system.toml");
     assert!(place.helm(&["check-system", deploy]).0);
 
--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -63,6 +63,10 @@
     Stage { service: String, number: u64, stage: u32 },
     /// A roll-out ends: the new version stays, or goes back.
     Settle { service: String, number: u64, good: bool },
+    /// A marshal that edges find gone is taken out, but for looks of these edges.
+    Suspect { id: String, looks: Vec<u32> },
+    /// It takes its part again.
+    Trust { id: String },
     /// An edge that has drifted, in this life of it, is to be brought back by this step; and why.
     Heal { edge: u32, life: u64, step: Step, why: String },
 }
--- a/crates/ledger/src/view.rs
+++ b/crates/ledger/src/view.rs
@@ -124,6 +124,9 @@
     /// there were any is read as one without.
     #[serde(skip)]
     pub heals: VecDeque<Heal>,
+    /// Marshals that are taken out as edges find them gone, with the edges that look at them; behind the others as well.
+    #[serde(skip)]
+    pub suspected: BTreeMap<String, Vec<u32>>,
     #[serde(skip)]
     read: Option<Arc<Configuration>>,
 }
@@ -132,7 +135,8 @@
     /// Its bytes.
     pub fn bytes(&self) -> Vec<u8> {
         let bytes = postcard::to_stdvec(self).unwrap_or_default(); // plain values can't fail
-        postcard::to_extend(&self.heals, bytes).unwrap_or_default()
+        let bytes = postcard::to_extend(&self.heals, bytes).unwrap_or_default();
+        postcard::to_extend(&self.suspected, bytes).unwrap_or_default()
     }
 
     /// From its bytes; from none, the state before any entry.
@@ -143,7 +147,11 @@
         let wrong = |problem| format!("state: {problem}");
         let (mut view, rest): (View, &[u8]) = postcard::take_from_bytes(bytes).map_err(wrong)?;
         if !rest.is_empty() {
-            view.heals = postcard::from_bytes(rest).map_err(wrong)?;
+            let (heals, rest) = postcard::take_from_bytes(rest).map_err(wrong)?;
+            view.heals = heals;
+            if !rest.is_empty() {
+                view.suspected = postcard::from_bytes(rest).map_err(wrong)?;
+            }
         }
         if view.revision > 0 {
             view.read = Some(Arc::new(Configuration::read(&view.body).map_err(|kind| kind.to_string())?));
@@ -190,6 +198,7 @@
             }
             Command::NodeGone { id, silent } => {
                 self.nodes.remove(id);
+                self.suspected.remove(id);
                 if !silent {
                     self.bury(id);
                 }
@@ -216,6 +225,16 @@
                 Outcome::Done
             }
             Command::Settle { service, number, good } => self.settle(service, *number, *good),
+            Command::Suspect { id, looks } => {
+                if self.nodes.contains_key(id) {
+                    self.suspected.insert(id.clone(), looks.clone());
+                }
+                Outcome::Done
+            }
+            Command::Trust { id } => {
+                self.suspected.remove(id);
+                Outcome::Done
+            }
             Command::Heal { edge, life, step, why } => {
                 let (edge, life, step) = (*edge, *life, *step);
                 self.heals.push_back(Heal { index, edge, life, step, why: why.clone() });
@@ -291,6 +310,8 @@
         }
         // Another life at the same address means that the earlier one is over.
         self.nodes.retain(|id, other| other.address != node.address || *id == node.id);
+        let nodes = &self.nodes;
+        self.suspected.retain(|id, _| nodes.contains_key(id));
         self.settled.entry(node.target.clone()).or_insert_with(|| node.revision.clone());
         self.nodes.insert(node.id.clone(), node.clone());
         Outcome::Done
@@ -356,7 +377,9 @@
     /// Whether a marshal may be sent to as far as its phase, zone and version go; and whether its version is on trial.
     pub fn standing(&self, node: &Node) -> (bool, bool) {
         let new = self.trial(node).is_some();
-        let here = node.phase != Phase::Draining && !self.evacuated.contains_key(&node.zone);
+        let here = node.phase != Phase::Draining
+            && !self.evacuated.contains_key(&node.zone)
+            && !self.suspected.contains_key(&node.id);
         (here && (new || self.in_service(node)), new)
     }
 
--- a/crates/steward/src/core.rs
+++ b/crates/steward/src/core.rs
@@ -7,10 +7,10 @@
 use milletwing_ledger::registry::Verdict;
 use milletwing_ledger::{Beat, Command, Heard, Outcome, Registry, RollOut, State, View};
 use milletwing_mirror::{Digest, Finding, Names, Order, Step};
-use milletwing_suspicion::{Board, Felt};
+use milletwing_suspicion::{key, Board, Felt, Known, Move, Tally};
 use milletwing_tenet::{tell, Kind, Settings};
 use milletwing_tidings::{frame, Answer, Ask, Down, Peer, Said};
-use milletwing_verity::{cap, pace, Move, Report, Tally, LAST};
+use milletwing_verity::{self as verity, cap, pace, Report, LAST};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::path::PathBuf;
@@ -48,7 +48,7 @@
     begun: Time,
     started: Time,
     nodes: usize,
-    tally: Tally,
+    tally: verity::Tally,
 }
 
 /// What goes to an edge; a pulse with the time when it was made.
@@ -96,6 +96,8 @@
     beaten: Time,
     /// Loads of marshals as edges were told them; and what the edges of this machine met, for the others.
     board: Board,
+    /// What edges met at hosts, as this machine weighs it while it leads.
+    tally: Tally,
     met: BTreeMap<u32, (u64, Time, Vec<Felt>)>,
     /// Whether edges route by what was agreed.
     pub drift: Drift,
@@ -167,6 +169,7 @@
             beaten: 0,
             drift: Drift::new(lag),
             board: Board::default(),
+            tally: Tally::default(),
             met: BTreeMap::new(),
             gossiped: BTreeMap::new(),
             retold: 0,
@@ -375,6 +378,11 @@
                 tell!(RollOut, "{service}: {revision} ordered")
             }
             (Command::Stage { service, stage, .. }, _) => tell!(RollOut, "{service}: stage {stage}"),
+            (Command::Suspect { id, looks }, _) if looks.is_empty() => tell!(Suspected, "{id} is taken out"),
+            (Command::Suspect { id, looks }, _) => {
+                tell!(Suspected, "{id} is looked at by {} edges", looks.len())
+            }
+            (Command::Trust { id }, _) => tell!(Suspected, "{id} takes its part again"),
             (Command::Heal { edge, step, why, .. }, _) => {
                 tell!(Heals, "{}: {}: {why}", std::net::Ipv4Addr::from_bits(*edge), step.word())
             }
@@ -391,6 +399,7 @@
         if role == Role::Leader && self.role != Role::Leader {
             tell!(Leads, "term {}", self.member.term());
             self.trials.clear();
+            self.tally = Tally::default();
             self.lingers.clear();
             self.registry.lead(now, &self.view, &Core::cold_for(&self.view));
         }
@@ -450,8 +459,9 @@
                 }
                 Peer::Mirror(index, digest) => core.mirrored(now, from, index, &digest),
                 Peer::Felt(told) => {
-                    for (_, ago, felt) in told {
+                    for (edge, ago, felt) in told {
                         core.board.take(now, &felt, ago);
+                        core.suspect(now, edge, &felt, ago);
                     }
                 }
                 Peer::Join => {
@@ -500,6 +510,7 @@
             commands.extend(self.judge(now));
             commands.extend(self.linger(now));
             commands.extend(self.bring_back(now));
+            commands.extend(self.suspects(now));
             for command in commands {
                 self.member.propose(now, command.bytes());
             }
@@ -560,7 +571,7 @@
                 begun: now,
                 started: now,
                 nodes: 0,
-                tally: Tally::new(now, roll.stage),
+                tally: verity::Tally::new(now, roll.stage),
             });
             trial.tally.moved(now, roll.stage);
             let nodes = self
@@ -578,13 +589,15 @@
                 if nodes == 0 { None } else { trial.tally.step(now, trial.started, pace(roll.period_ms)) };
             let number = roll.number;
             out.extend(match (step, over) {
-                (Some(Move::On), _) if roll.stage >= LAST => {
+                (Some(verity::Move::On), _) if roll.stage >= LAST => {
                     Some(Command::Settle { service, number, good: true })
                 }
-                (Some(Move::Back), _) | (None, true) => {
+                (Some(verity::Move::Back), _) | (None, true) => {
                     Some(Command::Settle { service, number, good: false })
                 }
-                (Some(Move::On), _) => Some(Command::Stage { service, number, stage: roll.stage + 1 }),
+                (Some(verity::Move::On), _) => {
+                    Some(Command::Stage { service, number, stage: roll.stage + 1 })
+                }
                 (None, false) => None,
             });
         }
@@ -602,6 +615,22 @@
         serde_json::json!({"leads": self.role == Role::Leader, "trials": rows.collect::<Vec<_>>()})
     }
 
+    /// Hosts that are taken out, or that edges find gone; evidence where this machine leads.
+    pub fn suspected(&self) -> serde_json::Value {
+        let now = self.now();
+        let name = |edge: &u32| std::net::Ipv4Addr::from_bits(*edge).to_string();
+        let hosts = self.view.nodes.values().filter_map(|node| {
+            let looks = self.view.suspected.get(&node.id);
+            let (by, answered) = self.tally.tell(now, key(&node.id));
+            (looks.is_some() || !by.is_empty()).then(|| {
+                serde_json::json!({"marshal": node.id, "service": node.target, "zone": node.zone,
+                    "out": looks.is_some(), "lookedAtBy": looks.into_iter().flatten().map(name).collect::<Vec<_>>(),
+                    "foundGoneBy": by.iter().map(name).collect::<Vec<_>>(), "answeredMs": answered})
+            })
+        });
+        serde_json::json!({"suspects": hosts.collect::<Vec<_>>()})
+    }
+
     /// Whether edges route by what was agreed; complete where this machine leads.
     pub fn drifted(&self) -> serde_json::Value {
         let now = self.now();
@@ -670,6 +699,43 @@
         }
     }
 
+    /// What an edge met, as evidence on hosts: where this machine leads.
+    fn suspect(&mut self, now: Time, edge: u32, felt: &[Felt], ago: Time) {
+        if self.role == Role::Leader {
+            let zone = self.registry.edges(now).find(|(it, _)| it.id == edge).map(|(it, _)| it.zone.clone());
+            self.tally.take(now, edge, &zone.unwrap_or_default(), felt, ago);
+        }
+    }
+
+    /// What follows for hosts that edges find gone.
+    fn suspects(&mut self, now: Time) -> Vec<Command> {
+        let known: Vec<Known> = self
+            .view
+            .nodes
+            .values()
+            .map(|node| {
+                let (open, new) = self.view.standing(node);
+                let (host, service) = (key(&node.id), node.target.clone());
+                let warm = node.phase == milletwing_ledger::Phase::Warm;
+                Known {
+                    host,
+                    service,
+                    open: open && !new && warm,
+                    out: self.view.suspected.contains_key(&node.id),
+                }
+            })
+            .collect();
+        let id = |host: u32| self.view.nodes.keys().find(|id| key(id) == host).cloned().unwrap_or_default();
+        let moves = self.tally.step(now, &known).into_iter();
+        moves
+            .map(|it| match it {
+                Move::Out(host) => Command::Suspect { id: id(host), looks: Vec::new() },
+                Move::Look(host, looks) => Command::Suspect { id: id(host), looks },
+                Move::Back(host) => Command::Trust { id: id(host) },
+            })
+            .collect()
+    }
+
     /// What follows for edges that have drifted.
     fn bring_back(&mut self, now: Time) -> Vec<Command> {
         let ready = self.registry.ready(now).into_iter();
@@ -718,6 +784,7 @@
             return;
         }
         self.board.take(now, &felt, 0);
+        self.suspect(now, edge.id, &felt, 0);
         let (_, at, met) = self.met.entry(edge.id).or_insert((edge.life, now, Vec::new()));
         *at = now;
         // Bounded by what is told on four times a second; what doesn't fit is told by the edge's next requests.
--- a/crates/steward/src/front.rs
+++ b/crates/steward/src/front.rs
@@ -36,6 +36,7 @@
     ("GET", "/milletwing/members"),
     ("GET", "/milletwing/trials"),
     ("GET", "/milletwing/drift"),
+    ("GET", "/milletwing/suspects"),
     ("GET", "/milletwing/decisions/{attempt}"),
 ];
 
@@ -173,6 +174,7 @@
         (&Method::GET, ["members"]) => Ok(members(&core)),
         (&Method::GET, ["trials"]) => Ok(at_leader(&core, "trials", core.borrow().trials())),
         (&Method::GET, ["drift"]) => Ok(at_leader(&core, "drift", core.borrow().drifted())),
+        (&Method::GET, ["suspects"]) => Ok(at_leader(&core, "suspects", core.borrow().suspected())),
         (&Method::GET, ["decisions", attempt]) if !attempt.is_empty() => Ok(decisions(&core, attempt)),
         _ => Err(other_method(&parts)),
     };
