The real programs: an edge that lost an entry is named, thing by thing, and mended

Cause: drift was tried in one process only. Ruled out: dropping the connection (the edge would resume by index and lack nothing). Change: a test stands between an edge and a core machine, drops one message of entries, lets the next pass, and waits for M170 with the marshal's name, M171 renew at the edge, and 'well' from helm drift show.

--- a/crates/helm/tests/whole.rs
+++ b/crates/helm/tests/whole.rs
@@ -68,7 +68,11 @@
     }
 
     fn start(&self, role: &str, host: u32, first: bool) -> Process {
-        let seeds: Vec<String> = (1..=3).map(|host| format!("\"{}\"", self.at(host, 8544))).collect();
+        self.start_by(role, host, first, &[1, 2, 3])
+    }
+
+    fn start_by(&self, role: &str, host: u32, first: bool, seeds: &[u32]) -> Process {
+        let seeds: Vec<String> = seeds.iter().map(|host| format!("\"{}\"", self.at(*host, 8544))).collect();
         let disk = self.folder.join(format!("disk{host}"));
         let text = format!(
             "[self]\nnodeName = \"{role}-{host}\"\nipAddress = \"{}\"\nzone = \"a\"\nregion = \"north\"\ninitialAttach = {first}\n\
@@ -104,6 +108,23 @@
         core
     }
 
+    /// Stands between an edge and a core machine, and drops one message of entries once it is told to.
+    fn between(&self, host: u32, core: u32) -> Arc<AtomicU32> {
+        let (listener, to) = (TcpListener::bind(self.at(host, 7540)).unwrap(), self.at(core, 7540));
+        let drops = Arc::new(AtomicU32::new(0));
+        let told = Arc::clone(&drops);
+        std::thread::spawn(move || {
+            for edge in listener.incoming().map_while(Result::ok) {
+                let Ok(core) = TcpStream::connect(to) else { continue };
+                let (mut up, mut on) = (edge.try_clone().unwrap(), core.try_clone().unwrap());
+                std::thread::spawn(move || std::io::copy(&mut up, &mut on));
+                let told = Arc::clone(&told);
+                std::thread::spawn(move || down(core, edge, &told));
+            }
+        });
+        drops
+    }
+
     /// A call to the core, again and again until it is clear, as the protocol has it.
     fn order(&self, hosts: &[u32], method: &str, path: &str, extra: &str, body: &str) -> (u16, String) {
         for _ in 0..200 {
@@ -141,6 +162,24 @@
     }
 }
 
+/// Passes messages on, each a length in four bytes and its bytes, of which the first says its kind.
+fn down(mut from: TcpStream, mut to: TcpStream, drops: &AtomicU32) -> Option<()> {
+    const ENTRIES: u8 = 4;
+    loop {
+        let mut length = [0; 4];
+        from.read_exact(&mut length).ok()?;
+        let mut bytes = vec![0; u32::from_be_bytes(length) as usize];
+        from.read_exact(&mut bytes).ok()?;
+        let entries = bytes.first() == Some(&ENTRIES);
+        if entries
+            && drops.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1)).is_ok()
+        {
+            continue;
+        }
+        to.write_all(&[&length[..], &bytes].concat()).ok()?;
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.folder);
@@ -507,3 +546,50 @@
     edge.until("M104");
     assert!(edge.child.wait().unwrap().success());
 }
+
+/// An entry is lost on its way to an edge, and the next one comes: the edge goes on sending to a marshal that has left. It is
+/// named on what it routes by, and its tables are made anew while it serves.
+#[test]
+fn an_edge_that_lost_an_entry_is_named_and_mended() {
+    let place = Place::new("drift");
+    let core = place.core();
+    assert_eq!(place.configure(&[1, 2, 3], 0, 3), 200);
+    let (first, _) = marshal(place.at(100, 0), "i-1");
+    let (second, _) = marshal(place.at(101, 0), "i-2");
+    assert_eq!(place.beat(&[1], "i-1", first), 200);
+    assert_eq!(place.beat(&[1], "i-2", second), 200);
+    let drops = place.between(9, 1);
+    let edge = place.start_by("carrier", 20, true, &[9]);
+    edge.until("M150");
+    served(place.at(20, 8548));
+    drops.store(1, Ordering::SeqCst);
+    assert_eq!(place.order(&[1], "DELETE", "/milletwing/nodes/i-2", "", "").0, 200);
+    // Each change is told as it is folded: once the lost one is gone, others pass.
+    while drops.load(Ordering::SeqCst) > 0 {
+        std::thread::yield_now();
+    }
+    let (third, _) = marshal(place.at(102, 0), "i-3");
+    assert_eq!(place.beat(&[1], "i-3", third), 200);
+    // Named at the machine that tells it, thing by thing.
+    let named = core[0].until("too many");
+    assert!(
+        named.contains("M170") && named.contains(&format!("{}: hosts i-2 is too many", place.ip(20))),
+        "{named}"
+    );
+    edge.until("M171 renew");
+    let well =
+        |said: &str| said.contains("\"state\":\"well\"") && said.contains("\"step\":\"renew\",\"why\"");
+    let mended = (0..20_000).any(|_| {
+        let said = place.helm(&[
+            "drift",
+            "show",
+            "--json",
+            "--core",
+            &place.at(1, 8544).to_string(),
+            &place.ip(20).to_string(),
+        ]);
+        well(&said.1.replace([' ', '\n'], ""))
+    });
+    assert!(mended);
+    served(place.at(20, 8548));
+}
