Edges follow the core's place in the log also where an entry is none of theirs

Ruled out: entries lost (revision 12, entry 117, was in force on all), the feed's order.

Change: a pulse that is not behind moves the edge's place to its own: everything for edges up to there came before it on the same connection. An entry that was lost then shows as a digest that differs.

--- a/crates/carrier/src/feed.rs
+++ b/crates/carrier/src/feed.rs
@@ -151,6 +151,11 @@
             }
             Down::Pulse { fresh: now, index, cores: all, edges, loads } => {
                 let behind = index < edge.view.borrow().index;
+                if !behind {
+                    // All that edges are told up to there came before on this connection; a leader's first entry, or a change
+                    // of members, is none of it. Guards against standing behind the core for as long as nothing else comes.
+                    edge.view.borrow_mut().index = index;
+                }
                 if now && !behind {
                     fresh = Instant::now();
                     edge.course.borrow_mut().heard(edge.now());
