Lints of the new tests

Cause: clippy with warnings denied refused two remainders in suspicion/tests/tally.rs. Ruled out: other lints, the whole workspace is clean. Change: is_multiple_of.

--- a/crates/suspicion/tests/tally.rs
+++ b/crates/suspicion/tests/tally.rs
@@ -90,7 +90,7 @@
             0 => edge == cut && host == 7,
             1 => edge % 3 == 1 && edge < 6 && host == 7,
             2 => edge == cut,
-            _ => edge == cut && host % 2 == 0,
+            _ => edge == cut && host.is_multiple_of(2),
         };
         (0..60).for_each(|_| world.tick(&gone));
         assert!(world.moves.is_empty(), "seed {seed}, kind {kind}: {:?}", world.moves);
@@ -137,7 +137,7 @@
 fn never_more_than_a_stated_share_is_out() {
     for seed in 0..50 {
         let mut world = World::new(seed, 40, 30);
-        let all = seed % 2 == 0;
+        let all = seed.is_multiple_of(2);
         for _ in 0..60 {
             world.tick(&|_, host| all || host < 15);
             assert!(world.out() <= 12, "seed {seed}: {}", world.out());
