--- a/crates/tenet/tests/reading.rs
+++ b/crates/config/tests/reading.rs
@@ -1,12 +1,12 @@
 //! What operators and the platform hand in: read whole, or refused with a reason that names the place.
 
 use expect_test::expect;
-use milletwing_tenet::{Configuration, Event, Kind, Settings};
+use milletwing_config::{Configuration, Event, Kind, Settings};
 
 const SETTINGS: &str = r#"
 [self]
 nodeName = "edge-a-1"
-function = "carrier"
+function = "edge-proxy"
 ipAddress = "10.1.0.34"
 zone = "a"
 region = "north"
--- a/crates/accord/tests/catch_up.rs
+++ b/crates/consensus/tests/catch_up.rs
@@ -3,7 +3,7 @@
 
 mod simulation;
 
-use milletwing_accord::{Entry, Member, Message, Options, Payload, Role, Stored};
+use milletwing_consensus::{Entry, Member, Message, Options, Payload, Role, Stored};
 use simulation::World;
 
 const SILENCE: u64 = 2_000;
--- a/crates/accord/tests/lines.rs
+++ b/crates/consensus/tests/lines.rs
@@ -1,6 +1,6 @@
 //! Guarding lines that drawn worlds seldom need, each driven to where it matters.
 
-use milletwing_accord::{Batch, Entry, Member, Message, Options, Payload, Role, Stored, Work};
+use milletwing_consensus::{Batch, Entry, Member, Message, Options, Payload, Role, Stored, Work};
 
 const FOUNDERS: [u32; 3] = [1, 2, 3];
 
--- a/crates/accord/tests/replacement.rs
+++ b/crates/consensus/tests/replacement.rs
@@ -2,7 +2,7 @@
 
 mod simulation;
 
-use milletwing_accord::{Id, Role};
+use milletwing_consensus::{Id, Role};
 use simulation::World;
 
 /// Milliseconds after which a replaced machine's successor counts, as operators are promised it.
--- a/crates/accord/tests/simulation/mod.rs
+++ b/crates/consensus/tests/simulation/mod.rs
@@ -2,7 +2,7 @@
 //! all they hold, that hang or refuse, kills between any two steps, machines that are replaced.
 #![allow(dead_code)] // each test file uses a part of it
 
-use milletwing_accord::{
+use milletwing_consensus::{
     Batch, Entry, Id, Member, Message, Options, Payload, Retirement, Role, Stored, Time,
 };
 use rand::{Rng, SeedableRng};
@@ -46,7 +46,7 @@
     pub begun: Time,
     /// When it is down, unless the disk hangs.
     pub due: Time,
-    pub work: milletwing_accord::Work,
+    pub work: milletwing_consensus::Work,
 }
 
 pub struct Machine {
@@ -461,7 +461,7 @@
         for (id, machine) in &world.machines {
             let member = machine.member.as_ref();
             let said = member.map(|it| (it.role(), it.term(), it.lost(), it.members().to_vec(), it.marks()));
-            if std::env::var("ACCORD_SEED").is_ok() {
+            if std::env::var("CONSENSUS_SEED").is_ok() {
                 println!("{id}: {said:?}");
             }
         }
--- a/crates/accord/tests/world.rs
+++ b/crates/consensus/tests/world.rs
@@ -1,5 +1,5 @@
 //! Drawn histories of the agreement in a simulated world, judged afterwards. A failing seed names itself:
-//! `ACCORD_SEED=n cargo test -p milletwing-accord --test world` plays it again, `ACCORD_SEEDS=100000` plays more.
+//! `CONSENSUS_SEED=n cargo test -p milletwing-consensus --test world` plays it again, `CONSENSUS_SEEDS=100000` plays more.
 
 mod simulation;
 
@@ -14,7 +14,7 @@
         match result {
             Ok((entries, answered)) => (acked, reads) = (acked + entries, reads + answered),
             Err(_) => {
-                panic!("play it again: ACCORD_SEED={seed} cargo test -p milletwing-accord --test world")
+                panic!("play it again: CONSENSUS_SEED={seed} cargo test -p milletwing-consensus --test world")
             }
         }
     }
@@ -29,10 +29,10 @@
 
 #[test]
 fn nothing_acknowledged_is_lost_and_no_place_holds_two_values() {
-    match given("ACCORD_SEED") {
+    match given("CONSENSUS_SEED") {
         Some(seed) => judge(seed..seed + 1),
         None => {
-            let seeds = given("ACCORD_SEEDS").unwrap_or(2_000);
+            let seeds = given("CONSENSUS_SEEDS").unwrap_or(2_000);
             let threads: Vec<_> = (0..8)
                 .map(|part| {
                     std::thread::spawn(move || judge((0..seeds).filter(move |seed| seed % 8 == part)))
--- a/crates/steward/src/calls.rs
+++ b/crates/control-plane/src/calls.rs
@@ -2,8 +2,8 @@
 //! process, and sent to the machine that answers. Anything else is dropped: it may be the answer to a call of an earlier life that
 //! waited in a queue, or to one given up on and sent anew.
 
-use milletwing_accord::Id;
-use milletwing_tidings::{Answer, CallId};
+use milletwing_consensus::Id;
+use milletwing_wire::{Answer, CallId};
 use std::collections::HashMap;
 use tokio::sync::oneshot;
 
--- a/crates/steward/src/core.rs
+++ b/crates/control-plane/src/core.rs
@@ -14,13 +14,13 @@
 use crate::calls::Calls;
 use crate::drift::Drift;
 use membership::Margin;
-use milletwing_accord::{Id, Mark, Member, Message, Options, Role};
-use milletwing_ledger::{Heard, Registry, View};
-use milletwing_mirror::Finding;
-use milletwing_suspicion::{Board, Felt, Tally};
-use milletwing_tenet::{tell, Settings};
-use milletwing_tidings::{Answer, Peer};
-use milletwing_verity::{self as verity};
+use milletwing_config::{tell, Settings};
+use milletwing_consensus::{Id, Mark, Member, Message, Options, Role};
+use milletwing_drift_detection::Finding;
+use milletwing_outlier_detection::{Board, Felt, Tally};
+use milletwing_replicated_state::{Heard, Registry, View};
+use milletwing_sequential_test::{self as sequential_test};
+use milletwing_wire::{Answer, Peer};
 use orders::{reverted_services, Changed, Orders};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -62,7 +62,7 @@
     begun: Time,
     started: Time,
     nodes: usize,
-    tally: verity::Tally,
+    tally: sequential_test::Tally,
 }
 
 /// What goes to an edge; a pulse with the time when it was made.
@@ -90,9 +90,9 @@
 /// What the disk gave at the start, and the way to it.
 pub struct Writes {
     /// What stood on it.
-    pub stored: milletwing_accord::Stored,
+    pub stored: milletwing_consensus::Stored,
     /// Batches to be written, one at a time.
-    pub send: std::sync::mpsc::SyncSender<milletwing_accord::Batch>,
+    pub send: std::sync::mpsc::SyncSender<milletwing_consensus::Batch>,
 }
 
 /// One machine of the core.
@@ -117,7 +117,7 @@
     chance: Pcg64Mcg,
     recent: VecDeque<(u64, Rc<Vec<u8>>)>,
     recent_bytes: usize,
-    disk: std::sync::mpsc::SyncSender<milletwing_accord::Batch>,
+    disk: std::sync::mpsc::SyncSender<milletwing_consensus::Batch>,
     /// The batch that is out.
     out: Option<Out>,
     waiters: BTreeMap<u64, Vec<(u64, oneshot::Sender<Answer>)>>,
@@ -390,7 +390,7 @@
                         core.drift.healer.told(now, edge, life, &zone, finding);
                     }
                 }
-                Peer::Mirror(index, digest) => core.mirrored(now, from, index, &digest),
+                Peer::ViewDigest(index, digest) => core.view_digest(now, from, index, &digest),
                 Peer::Felt(told) => {
                     for (edge, ago, felt) in told {
                         core.board.take(now, &felt, ago);
@@ -469,7 +469,7 @@
         if now >= self.told + 500 {
             self.told = now;
             if let Some((index, digest)) = self.drift.own() {
-                self.post_all(&Peer::Mirror(index, digest));
+                self.post_all(&Peer::ViewDigest(index, digest));
             }
             let nodes = self.registry.news();
             // Guards against a machine that has just come up, or whose link lost a message: now and then all is told again.
@@ -508,5 +508,5 @@
         settings.seeds().into_iter().for_each(|id| core.meet(id));
         core.settings.timers = settings.timers;
     };
-    milletwing_tidings::watch(path, take).await;
+    milletwing_wire::watch(path, take).await;
 }
--- a/crates/steward/src/core/directory.rs
+++ b/crates/control-plane/src/core/directory.rs
@@ -1,8 +1,8 @@
 //! Edges for clients that ask where to go.
 
 use super::{Core, Time, FRESH, GROWING};
-use milletwing_ledger::Heard;
-use milletwing_tenet::configuration::Route;
+use milletwing_config::configuration::Route;
+use milletwing_replicated_state::Heard;
 use std::net::SocketAddrV4;
 
 /// Edges in one answer at most.
--- a/crates/steward/src/core/evidence.rs
+++ b/crates/control-plane/src/core/evidence.rs
@@ -1,12 +1,12 @@
 //! What edges report of themselves and of marshals, and what follows from it.
 
 use super::{Core, Time, FRESH};
-use milletwing_accord::{Id, Role};
-use milletwing_ledger::{Command, Heard};
-use milletwing_mirror::{Digest, Finding, Names, Order};
-use milletwing_suspicion::{key, Felt, Known, Move};
-use milletwing_tenet::tell;
-use milletwing_tidings::{frame, Down, Peer, Said};
+use milletwing_config::tell;
+use milletwing_consensus::{Id, Role};
+use milletwing_drift_detection::{Digest, Finding, Names, Order};
+use milletwing_outlier_detection::{key, Felt, Known, Move};
+use milletwing_replicated_state::{Command, Heard};
+use milletwing_wire::{frame, Down, Peer, Said};
 use std::rc::Rc;
 
 impl Core {
@@ -73,7 +73,7 @@
             .map(|node| {
                 let (open, new) = self.view.standing(node);
                 let (host, service) = (key(&node.id), node.target.clone());
-                let warm = node.phase == milletwing_ledger::Phase::Warm;
+                let warm = node.phase == milletwing_replicated_state::Phase::Warm;
                 Known {
                     host,
                     service,
@@ -132,8 +132,8 @@
     }
 
     /// Another machine of the core says what its entries make.
-    pub(super) fn mirrored(&mut self, now: Time, from: Id, index: u64, digest: &Digest) {
-        if self.drift.mirrored(now, from, index, digest) {
+    pub(super) fn view_digest(&mut self, now: Time, from: Id, index: u64, digest: &Digest) {
+        if self.drift.view_digest(now, from, index, digest) {
             tell!(CoreDiffers, "{}, as of entry {index}", std::net::Ipv4Addr::from_bits(from));
         }
     }
--- a/crates/steward/src/core/folding.rs
+++ b/crates/control-plane/src/core/folding.rs
@@ -1,10 +1,10 @@
 //! Committed entries become the state here; those who wait for them are answered, and edges are told.
 
 use super::{Changed, Core, RECENT};
-use milletwing_accord::Payload;
-use milletwing_ledger::{Command, Outcome, View};
-use milletwing_tenet::tell;
-use milletwing_tidings::Answer;
+use milletwing_config::tell;
+use milletwing_consensus::Payload;
+use milletwing_replicated_state::{Command, Outcome, View};
+use milletwing_wire::Answer;
 use std::rc::Rc;
 
 impl Core {
@@ -91,7 +91,8 @@
                 tell!(Configured, "entry {index}: revision {}", self.view.revision)
             }
             (Command::NodeUp(node), _) => {
-                let phase = if node.phase == milletwing_ledger::Phase::Warm { "warm" } else { "cold" };
+                let phase =
+                    if node.phase == milletwing_replicated_state::Phase::Warm { "warm" } else { "cold" };
                 tell!(
                     NodeUp,
                     "{} {} of {} at {} in {}, {phase}",
--- a/crates/steward/src/core/membership.rs
+++ b/crates/control-plane/src/core/membership.rs
@@ -1,11 +1,11 @@
 //! Which machines make up the core, who may stop, and how many further losses are borne.
 
 use super::{Core, Shared, Time};
-use milletwing_accord::Id;
-use milletwing_accord::Retirement;
-use milletwing_ledger::registry::Verdict;
-use milletwing_tenet::tell;
-use milletwing_tidings::{Answer, Ask};
+use milletwing_config::tell;
+use milletwing_consensus::Id;
+use milletwing_consensus::Retirement;
+use milletwing_replicated_state::registry::Verdict;
+use milletwing_wire::{Answer, Ask};
 use std::time::Duration;
 use tokio::sync::oneshot;
 
--- a/crates/steward/src/core/orders.rs
+++ b/crates/control-plane/src/core/orders.rs
@@ -1,13 +1,13 @@
 //! Orders and beats: decided here where this machine leads, else passed on to the leader, for as long as their callers wait.
 
 use super::{Core, Shared, Time};
-use milletwing_accord::{Mark, Role};
-use milletwing_ledger::registry::Verdict;
-use milletwing_ledger::view::digest;
-use milletwing_ledger::{Beat, Command, State, View};
-use milletwing_tenet::Configuration;
-use milletwing_tenet::Kind;
-use milletwing_tidings::{Answer, Ask, Peer};
+use milletwing_config::Configuration;
+use milletwing_config::Kind;
+use milletwing_consensus::{Mark, Role};
+use milletwing_replicated_state::registry::Verdict;
+use milletwing_replicated_state::view::digest;
+use milletwing_replicated_state::{Beat, Command, State, View};
+use milletwing_wire::{Answer, Ask, Peer};
 use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
--- a/crates/steward/src/core/peers.rs
+++ b/crates/control-plane/src/core/peers.rs
@@ -1,8 +1,8 @@
 //! Links to the other machines of the core: who is known, what waits for whom.
 
 use super::{Core, QUEUE};
-use milletwing_accord::Id;
-use milletwing_tidings::{frame, Peer};
+use milletwing_consensus::Id;
+use milletwing_wire::{frame, Peer};
 use std::rc::Rc;
 use tokio::sync::{mpsc, Notify};
 
--- a/crates/steward/src/core/rollouts.rs
+++ b/crates/control-plane/src/core/rollouts.rs
@@ -1,10 +1,10 @@
 //! Versions on trial, as this machine judges them while it leads.
 
 use super::{Core, Judged, Time};
-use milletwing_accord::Role;
-use milletwing_ledger::{Command, RollOut, State};
-use milletwing_tidings::Peer;
-use milletwing_verity::{self as verity, cap, pace, Report, LAST};
+use milletwing_consensus::Role;
+use milletwing_replicated_state::{Command, RollOut, State};
+use milletwing_sequential_test::{self as sequential_test, cap, pace, Report, LAST};
+use milletwing_wire::Peer;
 
 impl Core {
     /// What follows for the trials under way.
@@ -23,7 +23,7 @@
                 begun: now,
                 started: now,
                 nodes: 0,
-                tally: verity::Tally::new(now, roll.stage),
+                tally: sequential_test::Tally::new(now, roll.stage),
             });
             trial.tally.moved(now, roll.stage);
             let nodes = self
@@ -41,13 +41,13 @@
                 if nodes == 0 { None } else { trial.tally.step(now, trial.started, pace(roll.period_ms)) };
             let number = roll.number;
             out.extend(match (step, over) {
-                (Some(verity::Move::On), _) if roll.stage >= LAST => {
+                (Some(sequential_test::Move::On), _) if roll.stage >= LAST => {
                     Some(Command::Settle { service, number, good: true })
                 }
-                (Some(verity::Move::Back), _) | (None, true) => {
+                (Some(sequential_test::Move::Back), _) | (None, true) => {
                     Some(Command::Settle { service, number, good: false })
                 }
-                (Some(verity::Move::On), _) => {
+                (Some(sequential_test::Move::On), _) => {
                     Some(Command::Stage { service, number, stage: roll.stage + 1 })
                 }
                 (None, false) => None,
--- a/crates/steward/src/core/subscriptions.rs
+++ b/crates/control-plane/src/core/subscriptions.rs
@@ -1,9 +1,9 @@
 //! What edges are told: entries as they are folded, whole states, pulses, steps to bring one back.
 
 use super::{Core, Feed, Time, Word, FRESH};
-use milletwing_ledger::Heard;
-use milletwing_mirror::Step;
-use milletwing_tidings::{frame, Down};
+use milletwing_drift_detection::Step;
+use milletwing_replicated_state::Heard;
+use milletwing_wire::{frame, Down};
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
--- a/crates/steward/src/disk.rs
+++ b/crates/control-plane/src/disk.rs
@@ -3,10 +3,10 @@
 //! with growing pauses on the file opened anew; a file that turns out damaged ends the process, whose next start asks the others.
 
 use crate::core::{Core, Shared, Writes};
-use milletwing_accord::{Batch, Stored};
-use milletwing_archive::{Archive, Backoff, Fault, Opened, Report, Writer};
-use milletwing_ledger::View;
-use milletwing_tenet::{tell, Settings};
+use milletwing_config::{tell, Settings};
+use milletwing_consensus::{Batch, Stored};
+use milletwing_replicated_state::View;
+use milletwing_storage::{Backoff, Fault, LogStore, Opened, Report, Writer};
 use std::path::PathBuf;
 use std::sync::mpsc::sync_channel;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
@@ -17,12 +17,12 @@
     if let Some(folder) = path.parent() {
         std::fs::create_dir_all(folder).map_err(Fault::Refused)?;
     }
-    Archive::file_or_anew(path, CACHE, sound)
+    LogStore::file_or_anew(path, CACHE, sound)
 }
 
 /// Whether what a file holds hangs together, down to the state in it.
 fn sound(stored: &Stored) -> Result<(), String> {
-    let found = milletwing_accord::inspect(stored)?;
+    let found = milletwing_consensus::inspect(stored)?;
     View::unpacked(&found.data).map(drop)
 }
 
@@ -30,26 +30,26 @@
 /// a lost disk. Errors: the file is damaged and can't be replaced, or the thread can't be made.
 pub async fn open(settings: &Settings) -> Result<(Writes, UnboundedReceiver<Report>), String> {
     let path = settings.own.state_dir.as_ref().map(|folder| PathBuf::from(folder).join("core.redb"));
-    let (archive, stored) = match &path {
+    let (store, stored) = match &path {
         Some(path) => {
             let opened =
                 opened(path).await.map_err(|why| format!("self.stateDir {}: {why}", path.display()))?;
             if let Some(damage) = opened.damage {
                 tell!(DiskLost, "{damage}");
             }
-            (opened.archive, opened.stored)
+            (opened.store, opened.stored)
         }
-        None => (Archive::memory().map_err(|problem| problem.to_string())?, Stored::default()),
+        None => (LogStore::memory().map_err(|problem| problem.to_string())?, Stored::default()),
     };
     let reopen = move || match &path {
-        Some(path) => Archive::file(path, CACHE),
+        Some(path) => LogStore::file(path, CACHE),
         None => Err(Fault::Damaged("a state in memory can't be opened again".into())),
     };
     // One batch is out at a time: the driver hands out the next when it hears of the last.
     let (send, batches) = sync_channel::<Batch>(1);
     let (back, written) = unbounded_channel();
     let work = move || {
-        let mut writer = Writer::new(archive, reopen);
+        let mut writer = Writer::new(store, reopen);
         for batch in batches {
             let report = |report| {
                 let _ = back.send(report); // nobody listens any more: the process ends
--- a/crates/steward/src/drift.rs
+++ b/crates/control-plane/src/drift.rs
@@ -1,11 +1,11 @@
-//! Whether edges route by what was agreed, as one machine of the core sees it: `milletwing-mirror` with this machine's view.
-
-use milletwing_accord::Id;
-use milletwing_course::intent;
-use milletwing_course::table::Table;
-use milletwing_ledger::View;
-use milletwing_mirror::{Checker, Digest, Finding, Healer, Names, Order, Part, Reflection, Sample};
-use milletwing_tenet::{tell, Configuration};
+//! Whether edges route by what was agreed, as one machine of the core sees it: `milletwing-drift-detection` with this machine's view.
+
+use milletwing_config::{tell, Configuration};
+use milletwing_consensus::Id;
+use milletwing_drift_detection::{Checker, Digest, Finding, Healer, Names, Order, Part, Reflection, Sample};
+use milletwing_replicated_state::View;
+use milletwing_routing::intent;
+use milletwing_routing::table::Table;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
@@ -186,7 +186,7 @@
     }
 
     /// Another machine of the core has this digest as of an entry. Whether it is news that it differs from this one's.
-    pub fn mirrored(&mut self, now: Time, from: Id, index: u64, digest: &Digest) -> bool {
+    pub fn view_digest(&mut self, now: Time, from: Id, index: u64, digest: &Digest) -> bool {
         let Some(own) = self.checker.kept(index) else { return false };
         let same = own.differs(digest).is_empty();
         let before = self.others.insert(from, (now, same));
--- a/crates/steward/src/feeds.rs
+++ b/crates/control-plane/src/feeds.rs
@@ -1,8 +1,8 @@
 //! Connections of edges: entries as they are folded here, a pulse in between, and the edges' own beats.
 
 use crate::core::Shared;
-use milletwing_ledger::Heard;
-use milletwing_tidings::{self as tidings, Up};
+use milletwing_replicated_state::Heard;
+use milletwing_wire::{self as wire, Up};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -21,8 +21,7 @@
     let (id, mut queue) = core.borrow_mut().attach(edge, index);
     let hearing = Rc::clone(&core);
     let hears = tokio::task::spawn_local(async move {
-        while let Ok(Ok(up)) =
-            tokio::time::timeout(Duration::from_secs(3), tidings::read::<Up>(&mut read)).await
+        while let Ok(Ok(up)) = tokio::time::timeout(Duration::from_secs(3), wire::read::<Up>(&mut read)).await
         {
             let core = &mut *hearing.borrow_mut();
             match up {
@@ -37,7 +36,7 @@
         if made.is_some_and(|made| core.borrow().now() > made + LATE) {
             continue;
         }
-        if !core.borrow().attached(id) || tidings::write(&mut write, &bytes).await.is_err() {
+        if !core.borrow().attached(id) || wire::write(&mut write, &bytes).await.is_err() {
             break;
         }
     }
--- a/crates/steward/src/front.rs
+++ b/crates/control-plane/src/front.rs
@@ -9,10 +9,10 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use milletwing_ledger::view::MOST_BODY;
-use milletwing_ledger::Beat;
-use milletwing_tenet::Kind;
-use milletwing_tidings::{Answer, Ask};
+use milletwing_config::Kind;
+use milletwing_replicated_state::view::MOST_BODY;
+use milletwing_replicated_state::Beat;
+use milletwing_wire::{Answer, Ask};
 use serde::Deserialize;
 use serde_json::json;
 use std::cell::Cell;
@@ -81,7 +81,7 @@
                 continue;
             }
         };
-        let _ = milletwing_tidings::groom(&stream, Duration::from_secs(5));
+        let _ = milletwing_wire::groom(&stream, Duration::from_secs(5));
         let (core, open) = (Rc::clone(&core), Rc::clone(&open));
         open.count.set(open.count() + 1);
         tokio::task::spawn_local(async move {
@@ -300,7 +300,7 @@
     let leader = core.member.leader().filter(|leader| *leader != core.settings.id());
     match (leader, core.settings.binding("controlPlane")) {
         (Some(leader), Ok(own)) => {
-            let place = milletwing_tidings::place(leader, own.port());
+            let place = milletwing_wire::place(leader, own.port());
             let mut reply = reply(307, known.to_string());
             if let Ok(place) = HeaderValue::from_str(&format!("http://{place}/milletwing/{what}")) {
                 reply.headers_mut().insert(LOCATION, place);
--- a/crates/steward/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -13,7 +13,7 @@
 pub use front::ROUTES;
 
 use crate::core::Core;
-use milletwing_tenet::{tell, Settings};
+use milletwing_config::{tell, Settings};
 use std::future::Future;
 use std::path::Path;
 use std::pin::Pin;
@@ -37,7 +37,7 @@
         opened = disk::open(&settings) => opened?,
         _ = leave.as_mut() => return Ok(()),
     };
-    let inner = milletwing_tidings::place(settings.id(), settings.network.internal_ports.0);
+    let inner = milletwing_wire::place(settings.id(), settings.network.internal_ports.0);
     let inner = bind("internal", inner).await?;
     let control = bind("controlPlane", settings.binding("controlPlane")?).await?;
     let directory = match settings.network.bindings.get("directoryPort") {
@@ -45,7 +45,7 @@
         None => None,
     };
     let core = Core::start(settings.clone(), writes, rand::random())?;
-    tell!(Started, "steward {} control {}", settings.own.node_name, settings.binding("controlPlane")?);
+    tell!(Started, "control-plane {} control {}", settings.own.node_name, settings.binding("controlPlane")?);
     let open = Rc::new(front::Open::default());
     let tasks = [
         tokio::task::spawn_local(disk::listen(Rc::clone(&core), written)),
@@ -70,6 +70,6 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     tasks.iter().for_each(|task| task.abort());
-    tell!(Ended, "steward {}", settings.own.node_name);
+    tell!(Ended, "control-plane {}", settings.own.node_name);
     Ok(())
 }
--- a/crates/steward/src/links.rs
+++ b/crates/control-plane/src/links.rs
@@ -1,8 +1,8 @@
 //! Connections to other machines of the core. Each dials every other and sends; what is accepted is only read.
 
 use crate::core::{Core, Shared};
-use milletwing_accord::Id;
-use milletwing_tidings::{self as tidings, frame, Greeting, Peer};
+use milletwing_consensus::Id;
+use milletwing_wire::{self as wire, frame, Greeting, Peer};
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,16 +40,16 @@
     let (mut queue, up) = core.borrow_mut().link(to);
     loop {
         let dialled = tokio::select! {
-            dialled = tidings::dial(tidings::place(to, port), DIAL) => dialled,
+            dialled = wire::dial(wire::place(to, port), DIAL) => dialled,
             // It has dialled us: what we sent before it had power is lost.
             _ = up.notified() => continue,
         };
         if let Ok(stream) = dialled {
-            let _ = tidings::groom(&stream, PATIENCE);
+            let _ = wire::groom(&stream, PATIENCE);
             let mut stream = BufWriter::new(stream);
-            if tidings::write(&mut stream, &frame(&Greeting::Core(own))).await.is_ok() {
+            if wire::write(&mut stream, &frame(&Greeting::Core(own))).await.is_ok() {
                 while let Some(bytes) = queue.recv().await {
-                    if tidings::write(&mut stream, &bytes).await.is_err() {
+                    if wire::write(&mut stream, &bytes).await.is_err() {
                         break;
                     }
                 }
@@ -80,17 +80,17 @@
 }
 
 async fn welcome(core: Shared, stream: TcpStream) -> Result<(), std::io::Error> {
-    tidings::groom(&stream, PATIENCE)?;
+    wire::groom(&stream, PATIENCE)?;
     let (read, write) = stream.into_split();
     let mut read = BufReader::with_capacity(4096, read);
-    let greeting = tokio::time::timeout(Duration::from_secs(2), tidings::read(&mut read));
+    let greeting = tokio::time::timeout(Duration::from_secs(2), wire::read(&mut read));
     match greeting.await.map_err(|_| std::io::ErrorKind::TimedOut)?? {
         Greeting::Core(id) => {
             let connection = core.borrow_mut().dialled_by(id);
             // Silence of a machine that can't say so ends the connection: its calls come ten times a second or its
             // knowledge twice.
             while let Ok(peer) =
-                tokio::time::timeout(Duration::from_secs(5), tidings::read::<Peer>(&mut read)).await
+                tokio::time::timeout(Duration::from_secs(5), wire::read::<Peer>(&mut read)).await
             {
                 if !Core::heard(&core, id, connection, peer?) {
                     break;
--- a/crates/steward/tests/api.rs
+++ b/crates/control-plane/tests/api.rs
@@ -1,6 +1,6 @@
 //! The API's file and the code name the same calls.
 
-use milletwing_steward::ROUTES;
+use milletwing_control_plane::ROUTES;
 use std::collections::BTreeSet;
 
 #[test]
--- a/crates/steward/tests/calls.rs
+++ b/crates/control-plane/tests/calls.rs
@@ -1,9 +1,9 @@
 //! Answers among core machines reach the call that asked for them, or nobody.
 
-use milletwing_steward::calls::Calls;
-use milletwing_steward::core::{Core, Writes};
-use milletwing_tenet::Settings;
-use milletwing_tidings::{Answer, Peer};
+use milletwing_config::Settings;
+use milletwing_control_plane::calls::Calls;
+use milletwing_control_plane::core::{Core, Writes};
+use milletwing_wire::{Answer, Peer};
 
 const LEADER: u32 = 1;
 const OTHER: u32 = 2;
--- a/crates/steward/tests/catch_up.rs
+++ b/crates/control-plane/tests/catch_up.rs
@@ -1,13 +1,13 @@
 //! How long a core machine that was away takes until it serves the newest state again, in simulated time: links of 1 to 15 ms, writes
-//! of 2 to 14 ms. A measurement, printed: `cargo test -p milletwing-steward --test catch_up -- --ignored --nocapture`.
+//! of 2 to 14 ms. A measurement, printed: `cargo test -p milletwing-control-plane --test catch_up -- --ignored --nocapture`.
 #![allow(dead_code)] // the machines are those of the drawn histories
 
 #[path = "control/machines.rs"]
 mod machines;
 
 use machines::{ms, Net, World};
-use milletwing_steward::core::Core;
-use milletwing_tidings::Answer;
+use milletwing_control_plane::core::Core;
+use milletwing_wire::Answer;
 use std::fmt::Write;
 use tokio::time::{sleep, Instant};
 
--- a/crates/steward/tests/control.rs
+++ b/crates/control-plane/tests/control.rs
@@ -1,6 +1,6 @@
 //! Drawn histories of the control side above the log, orders, evacuations, roll-outs, marshals' lives and edges that follow, judged
 //! afterwards. A failing seed names itself, with the troubles that can be left out: `CONTROL_SEED=n CONTROL_SKIP=1,4 cargo test -p
-//! milletwing-steward --test control` plays it again, `CONTROL_SEEDS=100000` plays more.
+//! milletwing-control-plane --test control` plays it again, `CONTROL_SEEDS=100000` plays more.
 
 #[path = "control/callers.rs"]
 mod callers;
@@ -12,9 +12,9 @@
 use callers::{body, version, Callers};
 use history::{History, Outcome};
 use machines::{ms, Net, World, MACHINES};
-use milletwing_accord::Role;
-use milletwing_ledger::view::digest;
-use milletwing_steward::core::Core;
+use milletwing_consensus::Role;
+use milletwing_control_plane::core::Core;
+use milletwing_replicated_state::view::digest;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -164,7 +164,7 @@
         if sound(seed, &skip, counts).is_none() {
             let left_out = shrink(seed).join(",");
             panic!(
-                "play it again: CONTROL_SEED={seed} CONTROL_SKIP={left_out} cargo test -p milletwing-steward --test control"
+                "play it again: CONTROL_SEED={seed} CONTROL_SKIP={left_out} cargo test -p milletwing-control-plane --test control"
             );
         }
     }
--- a/crates/steward/tests/control/callers.rs
+++ b/crates/control-plane/tests/control/callers.rs
@@ -3,11 +3,11 @@
 
 use crate::history::{Change, History, Outcome, Read, Version};
 use crate::machines::{id, ms, Net, MACHINES};
-use milletwing_ledger::view::digest;
-use milletwing_ledger::{Beat, Command, Heard, Phase, View};
-use milletwing_steward::core::Core;
-use milletwing_tenet::Kind;
-use milletwing_tidings::{self as tidings, Answer, Ask, Down};
+use milletwing_config::Kind;
+use milletwing_control_plane::core::Core;
+use milletwing_replicated_state::view::digest;
+use milletwing_replicated_state::{Beat, Command, Heard, Phase, View};
+use milletwing_wire::{self as wire, Answer, Ask, Down};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -255,7 +255,7 @@
             let (feed, mut queue) = core.borrow_mut().attach(edge, view.index);
             let until = Instant::now() + ms(self.net.draw(300..4_000));
             while let Ok(Some((_, bytes))) = tokio::time::timeout_at(until, queue.recv()).await {
-                let down = tidings::read::<Down>(&mut bytes.as_slice()).await.unwrap();
+                let down = wire::read::<Down>(&mut bytes.as_slice()).await.unwrap();
                 self.follow(&mut view, down);
             }
             core.borrow_mut().detach(feed);
--- a/crates/steward/tests/control/machines.rs
+++ b/crates/control-plane/tests/control/machines.rs
@@ -1,11 +1,11 @@
 //! Core machines in simulated time: their links lose, delay and cut, their disks hang, refuse and are lost, their processes are
 //! killed between any two steps. One thread, a paused clock, chance from a seed.
 
-use milletwing_accord::Batch;
-use milletwing_archive::Archive;
-use milletwing_steward::core::{ticks, Core, Shared, Writes};
-use milletwing_tenet::Settings;
-use milletwing_tidings::{self as tidings, Peer};
+use milletwing_config::Settings;
+use milletwing_consensus::Batch;
+use milletwing_control_plane::core::{ticks, Core, Shared, Writes};
+use milletwing_storage::LogStore;
+use milletwing_wire::{self as wire, Peer};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cell::{Cell, RefCell};
@@ -52,7 +52,7 @@
 }
 
 struct Machine {
-    archive: Rc<Archive>,
+    store: Rc<LogStore>,
     life: Option<Life>,
     first: bool,
     /// Until then its disk hangs, or refuses.
@@ -73,9 +73,9 @@
 impl World {
     pub fn new(seed: u64) -> Net {
         let machine = |at| {
-            let archive = Rc::new(Archive::memory().unwrap());
+            let store = Rc::new(LogStore::memory().unwrap());
             let stuck = Rc::new(Cell::new(Instant::now()));
-            (at, Machine { archive, life: None, first: true, stuck, refuses: Rc::default() })
+            (at, Machine { store, life: None, first: true, stuck, refuses: Rc::default() })
         };
         Rc::new(World {
             machines: RefCell::new((1..=MACHINES).map(machine).collect()),
@@ -106,18 +106,18 @@
         if self.core(at).is_some() {
             return;
         }
-        let (archive, first, stuck, refuses) = {
+        let (store, first, stuck, refuses) = {
             let machines = &mut *self.machines.borrow_mut();
             let machine = machines.get_mut(&at).unwrap();
             let first = std::mem::take(&mut machine.first);
-            (Rc::clone(&machine.archive), first, Rc::clone(&machine.stuck), Rc::clone(&machine.refuses))
+            (Rc::clone(&machine.store), first, Rc::clone(&machine.stuck), Rc::clone(&machine.refuses))
         };
         let (send, batches) = sync_channel(1);
         let batches = Rc::new(batches);
-        let writes = Writes { stored: archive.load().unwrap(), send };
+        let writes = Writes { stored: store.load().unwrap(), send };
         let core = Core::start(settings(at, first), writes, self.draw(0..u64::MAX)).unwrap();
         let writing = Rc::new(RefCell::new(None));
-        let disk = Disk { archive, stuck, refuses, writing: Rc::clone(&writing) };
+        let disk = Disk { store, stuck, refuses, writing: Rc::clone(&writing) };
         let mut tasks = vec![
             tokio::task::spawn_local(ticks(Rc::clone(&core))),
             tokio::task::spawn_local(disk.run(Rc::clone(self), Rc::clone(&core), Rc::clone(&batches))),
@@ -149,7 +149,7 @@
                     None if lives => peer.borrow_mut().dialled_by(id(from)),
                     None => continue,
                 };
-                let message = tidings::read::<Peer>(&mut bytes.as_slice()).await.unwrap();
+                let message = wire::read::<Peer>(&mut bytes.as_slice()).await.unwrap();
                 let current = Core::heard(&peer, id(from), connection, message);
                 dialled = current.then_some((peer, connection));
             }
@@ -166,11 +166,11 @@
             life.tasks.iter().take(2).for_each(|task| task.abort());
             self.ended.borrow_mut().push(Rc::clone(&life.batches));
             if let Some(batch) = life.writing.borrow_mut().take().filter(|_| down) {
-                machine.archive.write(&batch).unwrap();
+                machine.store.write(&batch).unwrap();
             }
         }
         if wipe {
-            machine.archive = Rc::new(Archive::memory().unwrap());
+            machine.store = Rc::new(LogStore::memory().unwrap());
         }
     }
 
@@ -202,7 +202,7 @@
 }
 
 struct Disk {
-    archive: Rc<Archive>,
+    store: Rc<LogStore>,
     stuck: Rc<Cell<Instant>>,
     refuses: Rc<Cell<bool>>,
     writing: Rc<RefCell<Option<Batch>>>,
@@ -228,7 +228,7 @@
                 sleep(REFUSED).await;
             }
             if let Some(batch) = self.writing.borrow_mut().take() {
-                self.archive.write(&batch).unwrap();
+                self.store.write(&batch).unwrap();
             }
             Core::saved(&core);
         }
--- a/crates/steward/tests/directory.rs
+++ b/crates/control-plane/tests/directory.rs
@@ -1,8 +1,8 @@
 //! Which edges a client is led to when those of its own region are gone.
 
-use milletwing_ledger::{Heard, View};
-use milletwing_steward::core::{Core, Writes};
-use milletwing_tenet::Settings;
+use milletwing_config::Settings;
+use milletwing_control_plane::core::{Core, Writes};
+use milletwing_replicated_state::{Heard, View};
 
 const SETTINGS: &str =
     "[self]\nnodeName = \"core\"\nipAddress = \"10.0.0.1\"\nzone = \"a\"\nregion = \"north\"\n\
--- a/crates/decision/src/interface.rs
+++ b/crates/decision/src/interface.rs
@@ -3,7 +3,7 @@
 //! Everything a marshal knows comes in as `Settings` and `Event`s; everything it does goes out as `Action`s.
 //! Nothing here decides anything.
 
-use milletwing_verity::Sums;
+use milletwing_sequential_test::Sums;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashSet};
 use std::ops::{Add, Div, Mul, Sub};
--- a/crates/decision/src/moments.rs
+++ b/crates/decision/src/moments.rs
@@ -2,7 +2,7 @@
 //! told its span by the caller, and seeded dice.
 
 use crate::interface::Ms;
-pub use milletwing_verity::Sums;
+pub use milletwing_sequential_test::Sums;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use statrs::distribution::{Binomial, DiscreteCDF};
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -12,8 +12,10 @@
 use crate::interface::*;
 use crate::moments::{Dice, Excess, Periods, Times};
 use crate::state::{Attempt, Calls, Cast, Ended, Flow, Heard, Node, Request, Step, Together, Trial};
-pub use milletwing_verity::adjusted_test;
-use milletwing_verity::{Sums, COIN, COVARIATE_SPAN, HOLD_P, LEAST, LEAST_HARM, LEVEL, LOOKS, UNSCORED};
+pub use milletwing_sequential_test::adjusted_test;
+use milletwing_sequential_test::{
+    Sums, COIN, COVARIATE_SPAN, HOLD_P, LEAST, LEAST_HARM, LEVEL, LOOKS, UNSCORED,
+};
 use statrs::distribution::{Binomial, DiscreteCDF};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::interface::*;
 use crate::moments::{Mean, Times};
-use milletwing_verity::Sums;
+use milletwing_sequential_test::Sums;
 use std::collections::{BTreeMap, VecDeque};
 
 /// A server as this marshal knows it.
--- a/crates/carrier/src/edge.rs
+++ b/crates/edge-proxy/src/edge.rs
@@ -1,10 +1,10 @@
 //! What all parts of an edge share: the decisions, the view of what the core agreed, connections to marshals, the clock.
 
 use crate::pool::{Dial, Pool};
-use milletwing_course::{Course, Place, Time};
-use milletwing_ledger::{Heard, View};
-use milletwing_mirror::{Digest, Reflection, Step};
-use milletwing_tenet::{tell, Settings};
+use milletwing_config::{tell, Settings};
+use milletwing_drift_detection::{Digest, Reflection, Step};
+use milletwing_replicated_state::{Heard, View};
+use milletwing_routing::{Place, Router, Time};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use tokio::sync::Notify;
@@ -17,7 +17,7 @@
 pub struct Edge {
     pub name: String,
     pub settings: RefCell<Settings>,
-    pub course: RefCell<Course>,
+    pub router: RefCell<Router>,
     pub view: RefCell<View>,
     pub pool: Pool,
     /// Clients' connections, and requests under way.
@@ -54,11 +54,11 @@
             region: settings.own.region.clone(),
             zones: settings.network.zones.clone(),
         };
-        let course = Course::new(place, settings.timers.guarantees.clone(), rand::random());
+        let router = Router::new(place, settings.timers.guarantees.clone(), rand::random());
         std::rc::Rc::new(Edge {
             name: settings.own.node_name.clone(),
             settings: RefCell::new(settings),
-            course: RefCell::new(course),
+            router: RefCell::new(router),
             view: RefCell::new(View::default()),
             pool: Pool::new(dial),
             connections: Cell::new(0),
@@ -86,7 +86,7 @@
 
     /// Whether clients should come.
     pub fn ready(&self) -> bool {
-        !self.leaving.get() && !self.resting.get() && self.course.borrow().ready()
+        !self.leaving.get() && !self.resting.get() && self.router.borrow().ready()
     }
 
     /// What the core is told.
@@ -118,7 +118,7 @@
         }
         self.reflected.set(now);
         let mut digest = Digest::default();
-        self.course.borrow().reflect(&mut digest);
+        self.router.borrow().reflect(&mut digest);
         self.reflection.set(Some(Reflection { index: self.view.borrow().index, digest }));
     }
 
@@ -139,7 +139,7 @@
     /// The whole view has come anew: all tables are made from it.
     pub fn renew(&self) {
         tell!(Heals, "{}", Step::Renew.word());
-        self.course.borrow_mut().renew(self.now(), &self.view.borrow());
+        self.router.borrow_mut().renew(self.now(), &self.view.borrow());
         self.reflected.set(0);
         self.refresh();
     }
@@ -151,8 +151,8 @@
         if self.revision.replace(revision) != revision {
             tell!(Configured, "revision {revision}");
         }
-        self.course.borrow_mut().refresh(self.now(), &self.view.borrow());
-        self.pool.forget(|marshal| self.course.borrow().knows(marshal));
+        self.router.borrow_mut().refresh(self.now(), &self.view.borrow());
+        self.pool.forget(|marshal| self.router.borrow().knows(marshal));
         if self.ready() != was {
             self.changed.notify_waiters();
         }
--- a/crates/carrier/src/feed.rs
+++ b/crates/edge-proxy/src/feed.rs
@@ -2,10 +2,10 @@
 //! machine that goes silent, or that doesn't hear its leader, is left for another.
 
 use crate::edge::Edge;
-use milletwing_ledger::{Command, View};
-use milletwing_mirror::Names;
-use milletwing_tenet::tell;
-use milletwing_tidings::{self as tidings, frame, place, Down, Greeting, Said, Up};
+use milletwing_config::tell;
+use milletwing_drift_detection::Names;
+use milletwing_replicated_state::{Command, View};
+use milletwing_wire::{self as wire, frame, place, Down, Greeting, Said, Up};
 use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
@@ -60,7 +60,7 @@
     let mut dials = JoinSet::new();
     for id in all.iter().copied() {
         let to: SocketAddrV4 = place(id, port);
-        dials.spawn_local(async move { (id, tidings::dial(to, Duration::from_millis(600)).await) });
+        dials.spawn_local(async move { (id, wire::dial(to, Duration::from_millis(600)).await) });
     }
     while let Some(done) = dials.join_next().await {
         if let Ok((id, Ok(stream))) = done {
@@ -87,12 +87,12 @@
             let pause = if trials { BEAT.0 / 3 } else { BEAT.1 };
             let changed = tokio::time::timeout(pause, beating.changed.notified()).await.is_ok();
             let now = beating.now();
-            let reports = beating.course.borrow_mut().reports(now);
-            let felt = beating.course.borrow_mut().felt(MOST_FELT);
+            let reports = beating.router.borrow_mut().reports(now);
+            let felt = beating.router.borrow_mut().felt(MOST_FELT);
             trials = !reports.is_empty();
             // With nothing to tell, every second one is enough to say that it lives.
             let reflection = beating.reflection.take();
-            let sample = beating.course.borrow_mut().sample();
+            let sample = beating.router.borrow_mut().sample();
             let news = !felt.is_empty() || reflection.is_some() || beating.asked.get();
             idle = if changed || trials || news { 0 } else { idle + 1 };
             if idle % 2 == 1 {
@@ -103,7 +103,7 @@
             let mut bytes = frame(&Up::Beat(Box::new(said)));
             if beating.asked.replace(false) {
                 let mut names = Names::default();
-                beating.course.borrow().reflect(&mut names);
+                beating.router.borrow().reflect(&mut names);
                 bytes.extend(frame(&Up::Names(names)));
             }
             if write.write_all(&bytes).await.is_err() {
@@ -115,7 +115,7 @@
     let mut said = false;
     let why = loop {
         let down = {
-            let mut reading = std::pin::pin!(tidings::read::<Down>(&mut read));
+            let mut reading = std::pin::pin!(wire::read::<Down>(&mut read));
             loop {
                 match tokio::time::timeout(SILENCE, reading.as_mut()).await {
                     Ok(down) => break down.map_err(|problem| problem.to_string()),
@@ -158,7 +158,7 @@
                 }
                 if now && !behind {
                     fresh = Instant::now();
-                    edge.course.borrow_mut().heard(edge.now());
+                    edge.router.borrow_mut().heard(edge.now());
                     if !said {
                         said = true;
                         tell!(FeedUp, "as of entry {index}");
@@ -169,9 +169,9 @@
                 *cores = all;
                 let now = edge.now();
                 {
-                    let course = &mut *edge.course.borrow_mut();
-                    course.edges(edges);
-                    course.loads(now, &loads, SHARED);
+                    let router = &mut *edge.router.borrow_mut();
+                    router.edges(edges);
+                    router.loads(now, &loads, SHARED);
                 }
                 // The core has made its own digest as of this entry.
                 if index == edge.view.borrow().index {
@@ -227,5 +227,5 @@
 
 /// Reads the settings again whenever the file changes.
 pub async fn watch(edge: Rc<Edge>, path: PathBuf) {
-    tidings::watch(path, |settings| *edge.settings.borrow_mut() = settings).await;
+    wire::watch(path, |settings| *edge.settings.borrow_mut() = settings).await;
 }
--- a/crates/carrier/src/front.rs
+++ b/crates/edge-proxy/src/front.rs
@@ -89,7 +89,7 @@
                 continue;
             }
         };
-        let _ = milletwing_tidings::groom(&stream, PATIENCE);
+        let _ = milletwing_wire::groom(&stream, PATIENCE);
         tokio::task::spawn_local(connection(Rc::clone(&edge), stream));
     }
 }
@@ -109,8 +109,8 @@
     counted: Counted,
 ) {
     let (idle, guard, head) = {
-        let course = edge.course.borrow();
-        let thresholds = course.configuration().and_then(|it| it.thresholds.as_ref());
+        let router = edge.router.borrow();
+        let thresholds = router.configuration().and_then(|it| it.thresholds.as_ref());
         let head = thresholds.map_or(HEAD.0, |it| it.max_header_bytes as usize);
         let idle = thresholds.map_or(15.0, |it| it.idle_guard_s).clamp(1.0, KEEP.1.as_secs_f64());
         let guard = thresholds.map_or(3.0, |it| it.header_guard_s).clamp(0.5, 600.0);
--- a/crates/carrier/src/lib.rs
+++ b/crates/edge-proxy/src/lib.rs
@@ -1,4 +1,4 @@
-//! The program of an edge. `front` takes clients' connections, `watched` is one of them, `relay` a request through `course`'s decisions to its
+//! The program of an edge. `front` takes clients' connections, `watched` is one of them, `relay` a request through `routing`'s decisions to its
 //! answer, `pool` keeps connections to marshals, `probes` asks for their health while the core is out of reach, `body` and `out` what flows through, `feed` follows the core. One thread.
 
 mod body;
@@ -15,7 +15,7 @@
 mod tests;
 
 use crate::edge::Edge;
-use milletwing_tenet::{tell, Settings};
+use milletwing_config::{tell, Settings};
 use std::future::Future;
 use std::path::Path;
 use std::pin::Pin;
@@ -46,7 +46,7 @@
     };
     let grace = settings.timers.guarantees.graceS.max(1.0);
     let edge = Edge::new(settings, ingress, pool::tcp());
-    tell!(Started, "carrier {} ingress {ingress}", edge.name);
+    tell!(Started, "edge-proxy {} ingress {ingress}", edge.name);
     tokio::task::spawn_local(feed::follow(Rc::clone(&edge)));
     tokio::task::spawn_local(feed::watch(Rc::clone(&edge), path.to_path_buf()));
     tokio::task::spawn_local(probes::run(Rc::clone(&edge)));
--- a/crates/carrier/src/pool.rs
+++ b/crates/edge-proxy/src/pool.rs
@@ -7,7 +7,7 @@
 use hashbrown::HashMap;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use milletwing_course::Sending;
+use milletwing_routing::Sending;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -71,8 +71,8 @@
 pub fn tcp() -> Dial {
     Box::new(|to| {
         Box::pin(async move {
-            let stream = milletwing_tidings::dial(to, DIAL).await?;
-            let _ = milletwing_tidings::groom(&stream, PATIENCE); // it notices a silent peer later
+            let stream = milletwing_wire::dial(to, DIAL).await?;
+            let _ = milletwing_wire::groom(&stream, PATIENCE); // it notices a silent peer later
             Ok(Box::new(stream) as Box<dyn Wire>)
         })
     })
--- a/crates/carrier/src/probes.rs
+++ b/crates/edge-proxy/src/probes.rs
@@ -4,7 +4,7 @@
 use crate::edge::Edge;
 use hyper::header::{HeaderMap, HeaderValue, HOST};
 use hyper::{Request, StatusCode};
-use milletwing_course::Probe;
+use milletwing_routing::Probe;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,12 +21,12 @@
 pub async fn run(edge: Rc<Edge>) {
     loop {
         tokio::time::sleep(EVERY).await;
-        let due = edge.course.borrow_mut().probes(edge.now(), MOST);
+        let due = edge.router.borrow_mut().probes(edge.now(), MOST);
         for probe in due {
             let edge = Rc::clone(&edge);
             tokio::task::spawn_local(async move {
                 let warm = tokio::time::timeout(PATIENCE, ask(&edge, &probe)).await.unwrap_or(None);
-                edge.course.borrow_mut().probed(edge.now(), &probe, warm);
+                edge.router.borrow_mut().probed(edge.now(), &probe, warm);
             });
         }
     }
--- a/crates/carrier/src/relay.rs
+++ b/crates/edge-proxy/src/relay.rs
@@ -1,4 +1,4 @@
-//! One request from its head to its answer. What to do is `course`'s word; here it is done: bytes are sent, answers are
+//! One request from its head to its answer. What to do is `router`'s word; here it is done: bytes are sent, answers are
 //! checked, clocks run.
 
 use crate::body::{gather, join, Carry, Cut, Gathered};
@@ -12,9 +12,9 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
-use milletwing_course::table::Route;
-use milletwing_course::{Load, Result as Ended, Sending, Ticket, Time};
-use milletwing_tenet::{tell, Kind};
+use milletwing_config::{tell, Kind};
+use milletwing_routing::table::Route;
+use milletwing_routing::{Load, Result as Ended, Sending, Ticket, Time};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -86,7 +86,7 @@
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     if answer.again {
         let elsewhere = matches!(kind, Kind::Leaving);
-        let wait = if elsewhere { ELSEWHERE_S } else { edge.course.borrow_mut().back(route) };
+        let wait = if elsewhere { ELSEWHERE_S } else { edge.router.borrow_mut().back(route) };
         let wait = format!("{wait:.3}");
         if let Ok(wait) = HeaderValue::from_str(&wait) {
             headers.insert(header::RETRY_AFTER, wait);
@@ -127,7 +127,7 @@
     let remaining = parts.headers.get(REMAINING).and_then(|left| left.to_str().ok()?.trim().parse().ok());
     let mut ticket = {
         let now = edge.now();
-        let ticket = edge.course.borrow_mut().arrive(now, &host, parts.uri.path(), remaining);
+        let ticket = edge.router.borrow_mut().arrive(now, &host, parts.uri.path(), remaining);
         ticket.map_err(|kind| refuse(kind, None))?
     };
     let route = Rc::clone(&ticket.route);
@@ -149,20 +149,20 @@
         Gathered { head, rest: Some(rest) } => Source::Once(Some((head, rest, most_body))),
     };
     let first =
-        edge.course.borrow_mut().pick(edge.now(), &mut ticket).map_err(|kind| refuse(kind, Some(&route)))?;
+        edge.router.borrow_mut().pick(edge.now(), &mut ticket).map_err(|kind| refuse(kind, Some(&route)))?;
     // Guards against taking what may not be done before this process ends.
     let late = edge
         .ends
         .get()
-        .is_some_and(|ends| edge.now() + edge.course.borrow().may_take(edge.now(), &ticket, &first) > ends);
+        .is_some_and(|ends| edge.now() + edge.router.borrow().may_take(edge.now(), &ticket, &first) > ends);
     if late {
-        edge.course.borrow_mut().ended(edge.now(), &mut ticket, &first, Ended::Unsent, None);
+        edge.router.borrow_mut().ended(edge.now(), &mut ticket, &first, Ended::Unsent, None);
         return Err(refuse(Kind::Leaving, Some(&route)));
     }
-    edge.course.borrow_mut().note(edge.now(), [&id, &host, parts.uri.path()], &ticket, &first);
+    edge.router.borrow_mut().note(edge.now(), [&id, &host, parts.uri.path()], &ticket, &first);
     let deadline = tokio::time::sleep(left(edge, ticket.deadline));
     let mut deadline = std::pin::pin!(deadline);
-    let patience = edge.course.borrow().patience(&ticket, &first);
+    let patience = edge.router.borrow().patience(&ticket, &first);
     let hedge = tokio::time::sleep(Duration::from_millis(patience.unwrap_or(0)));
     let mut hedge = std::pin::pin!(hedge);
     let mut hedging = patience.is_some() && source.again();
@@ -176,7 +176,7 @@
                 let Done { guard, result, load, answer } = done;
                 let sending = guard.disarm();
                 let now = edge.now();
-                let avoided = edge.course.borrow_mut().ended(now, &mut ticket, &sending, result, load);
+                let avoided = edge.router.borrow_mut().ended(now, &mut ticket, &sending, result, load);
                 if let Some(span) = avoided {
                     tell!(NodeAvoided, "{} for {span} ms: {result:?}", sending.id);
                 }
@@ -187,13 +187,13 @@
                     Some(answer) if result == Ended::Served => return Ok(deliver(edge, answer, &route)),
                     other => other,
                 };
-                let more = source.again() && edge.course.borrow().again(now, &ticket, result);
+                let more = source.again() && edge.router.borrow().again(now, &ticket, result);
                 if more {
-                    let next = edge.course.borrow_mut().pick(now, &mut ticket);
+                    let next = edge.router.borrow_mut().pick(now, &mut ticket);
                     match next {
                         Ok(next) => {
                             // The timer of the sending that has ended says nothing of this one.
-                            let patience = edge.course.borrow().patience(&ticket, &next);
+                            let patience = edge.router.borrow().patience(&ticket, &next);
                             if let Some(patience) = patience {
                                 let until = tokio::time::Instant::now() + Duration::from_millis(patience);
                                 hedge.as_mut().reset(until);
@@ -222,8 +222,8 @@
             }
             _ = hedge.as_mut(), if hedging => {
                 hedging = false;
-                edge.course.borrow_mut().impatient(edge.now(), &waiting);
-                let next = edge.course.borrow_mut().pick(edge.now(), &mut ticket);
+                edge.router.borrow_mut().impatient(edge.now(), &waiting);
+                let next = edge.router.borrow_mut().pick(edge.now(), &mut ticket);
                 if let Ok(next) = next {
                     running.push(send(edge, &parts, &mut source, next, ticket.deadline, &id));
                 }
@@ -269,8 +269,8 @@
     if parts.headers.get_all(ATTEMPT).iter().count() != 1 {
         return bad("one X-Milletwing-Attempt-Id is wanted");
     }
-    let course = edge.course.borrow();
-    let thresholds = course.configuration().and_then(|it| it.thresholds.as_ref());
+    let router = edge.router.borrow();
+    let thresholds = router.configuration().and_then(|it| it.thresholds.as_ref());
     let (most_head, most_body) = thresholds.map_or((0, 0), |it| (it.max_header_bytes, it.max_body_bytes));
     let target = parts.uri.path_and_query().map_or(0, |it| it.as_str().len());
     let head: usize = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
@@ -318,7 +318,7 @@
 impl Drop for Guard {
     fn drop(&mut self) {
         if let Some(sending) = &self.sending {
-            self.edge.course.borrow_mut().dropped(self.edge.now(), sending);
+            self.edge.router.borrow_mut().dropped(self.edge.now(), sending);
         }
     }
 }
@@ -471,7 +471,7 @@
     let out = match body.rest {
         None => {
             let bytes = join(body.head);
-            edge.course.borrow_mut().weighed(route, bytes.len() as u64);
+            edge.router.borrow_mut().weighed(route, bytes.len() as u64);
             edge.pool.give_back(lease, keep);
             Out::Whole((!bytes.is_empty()).then_some(bytes))
         }
@@ -479,7 +479,7 @@
             let (noting, route) = (Rc::clone(edge), Rc::clone(route));
             let at_end = move |whole: bool| {
                 if let (true, Some(exact)) = (whole, exact) {
-                    noting.course.borrow_mut().weighed(&route, exact);
+                    noting.router.borrow_mut().weighed(&route, exact);
                 }
             };
             Out::Stream(Box::new(Streamed {
--- a/crates/carrier/src/tests.rs
+++ b/crates/edge-proxy/src/tests.rs
@@ -4,8 +4,8 @@
 use crate::edge::Edge;
 use crate::front;
 use crate::pool::{Dial, Wire};
-use milletwing_ledger::{Command, Node, Phase, View};
-use milletwing_tenet::Settings;
+use milletwing_config::Settings;
+use milletwing_replicated_state::{Command, Node, Phase, View};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::Future;
--- a/crates/group-server/src/store.rs
+++ b/crates/group-server/src/store.rs
@@ -2,10 +2,10 @@
 //! value has a checksum; a store that is damaged, another member's or of a newer format is told, never repaired.
 
 use crate::settings::{Keep, Settings};
-use milletwing_archive::{number, Archive, Fault};
 use milletwing_group::log::{Batch, Stored};
 use milletwing_group::member::founding;
 use milletwing_group::MemberId;
+use milletwing_storage::{number, Fault, LogStore};
 use std::path::Path;
 
 /// The format of the store; a later one is refused.
@@ -16,7 +16,7 @@
 
 /// A store that is open.
 pub struct Store {
-    base: Archive,
+    base: LogStore,
     /// What it is known by: drawn when it was made.
     pub id: u128,
     /// New with each opening.
@@ -24,10 +24,10 @@
 }
 
 impl Store {
-    fn base(keep: &Keep) -> Result<Archive, String> {
+    fn base(keep: &Keep) -> Result<LogStore, String> {
         match keep {
-            Keep::Memory => Archive::memory(),
-            Keep::File(path) => Archive::file(path, CACHE),
+            Keep::Memory => LogStore::memory(),
+            Keep::File(path) => LogStore::file(path, CACHE),
         }
         .map_err(|problem| problem.to_string())
     }
@@ -51,7 +51,7 @@
         Store::fill(&base, settings, found).map_err(|why| format!("store {}: {why}", path.display()))
     }
 
-    fn fill(base: &Archive, settings: &Settings, found: bool) -> Result<(), Fault> {
+    fn fill(base: &LogStore, settings: &Settings, found: bool) -> Result<(), Fault> {
         let stored = if found { founding(&settings.members) } else { Stored::default() };
         let (format, member) = (FORMAT.to_be_bytes(), settings.member.to_be_bytes());
         let id = rand::random::<u128>().to_be_bytes();
@@ -117,7 +117,7 @@
 
     /// What it holds, if it is this member's. The outer error is a fault of the store, the inner one of its use.
     #[allow(clippy::type_complexity)]
-    fn check(base: &Archive, settings: &Settings) -> Result<Result<(u128, Stored), String>, Fault> {
+    fn check(base: &LogStore, settings: &Settings) -> Result<Result<(u128, Stored), String>, Fault> {
         let needed = |name: &str| -> Result<Vec<u8>, Fault> {
             base.field(name)?.ok_or_else(|| Fault::Damaged(format!("{name} is missing")))
         };
@@ -137,7 +137,7 @@
         Ok(Ok((id, base.load()?)))
     }
 
-    fn begin(base: &Archive) -> Result<u64, Fault> {
+    fn begin(base: &LogStore) -> Result<u64, Fault> {
         let series = base.field("series")?.map_or(0, number) + 1;
         base.put(&[("series", &series.to_be_bytes())])?;
         Ok(series)
--- a/crates/group/src/log.rs
+++ b/crates/group/src/log.rs
@@ -4,7 +4,7 @@
 use raft::prelude::{ConfState, Entry, HardState, Snapshot};
 use raft::{Error, GetEntriesContext, RaftState, Storage, StorageError};
 
-pub use milletwing_accord::{Batch, Stored};
+pub use milletwing_consensus::{Batch, Stored};
 
 /// The mirror.
 #[derive(Clone, Debug, Default)]
--- a/crates/suspicion/tests/board.rs
+++ b/crates/outlier-detection/tests/board.rs
@@ -1,6 +1,6 @@
 //! What edges tell each other of loads, judged after the fact.
 
-use milletwing_suspicion::{key, Board, Felt};
+use milletwing_outlier_detection::{key, Board, Felt};
 use std::collections::BTreeMap;
 
 /// Words that come by ways of different lengths: the newest that was spoken holds, each is told once, and an old one to
--- a/crates/suspicion/tests/tally.rs
+++ b/crates/outlier-detection/tests/tally.rs
@@ -1,6 +1,6 @@
 //! Who is taken out, and how hosts come back: many edges and hosts in one process, judged after the fact.
 
-use milletwing_suspicion::{Felt, Known, Move, Tally};
+use milletwing_outlier_detection::{Felt, Known, Move, Tally};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/ledger/src/command.rs
+++ b/crates/replicated-state/src/command.rs
@@ -1,6 +1,6 @@
 //! What an entry of the log says.
 
-use milletwing_mirror::Step;
+use milletwing_drift_detection::Step;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 
--- a/crates/ledger/src/registry.rs
+++ b/crates/replicated-state/src/registry.rs
@@ -3,7 +3,7 @@
 
 use crate::command::{Command, Deal, Node, Phase};
 use crate::view::View;
-use milletwing_tenet::Kind;
+use milletwing_config::Kind;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
--- a/crates/ledger/src/view.rs
+++ b/crates/replicated-state/src/view.rs
@@ -2,8 +2,8 @@
 
 use crate::command::{Command, Deal, Node, Phase};
 use crate::pack::{pack, unpack};
-use milletwing_mirror::Step;
-use milletwing_tenet::{Configuration, Kind};
+use milletwing_config::{Configuration, Kind};
+use milletwing_drift_detection::Step;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/ledger/tests/histories.rs
+++ b/crates/replicated-state/tests/histories.rs
@@ -1,8 +1,8 @@
 //! Histories of entries and beats, judged after the fact.
 
-use milletwing_ledger::registry::Verdict;
-use milletwing_ledger::{Beat, Command, Heard, Node, Outcome, Phase, Registry, State, Still, View};
-use milletwing_tenet::Kind;
+use milletwing_config::Kind;
+use milletwing_replicated_state::registry::Verdict;
+use milletwing_replicated_state::{Beat, Command, Heard, Node, Outcome, Phase, Registry, State, Still, View};
 use std::collections::BTreeMap;
 
 fn body(revision: u64, routes: usize) -> Vec<u8> {
--- a/crates/course/src/intent.rs
+++ b/crates/routing/src/intent.rs
@@ -1,8 +1,8 @@
 //! What an edge is to route by, in the same words as what it does route by: `core` from the state that was agreed, and
-//! [`Course::reflect`](crate::Course::reflect) from the tables in use.
+//! [`Router::reflect`](crate::Router::reflect) from the tables in use.
 
-use milletwing_ledger::{Phase, State, View};
-use milletwing_mirror::{Part, Sink};
+use milletwing_drift_detection::{Part, Sink};
+use milletwing_replicated_state::{Phase, State, View};
 use std::collections::BTreeSet;
 
 /// A marshal's life.
--- a/crates/course/src/marshal.rs
+++ b/crates/routing/src/marshal.rs
@@ -1,8 +1,8 @@
 //! What an edge knows of one marshal: its place, its load as told and as felt, how fast it is, how often it fails.
 
 use crate::Time;
-use milletwing_ledger::{Node, Phase};
-use milletwing_suspicion::{key, Felt};
+use milletwing_outlier_detection::{key, Felt};
+use milletwing_replicated_state::{Node, Phase};
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
--- a/crates/course/src/course.rs
+++ b/crates/routing/src/router.rs
@@ -12,12 +12,12 @@
 use crate::Time;
 use ahash::RandomState;
 use hashbrown::HashMap;
-use milletwing_ledger::{State, View};
-use milletwing_mirror::{Sample, Sink};
-use milletwing_suspicion::Felt;
-use milletwing_tenet::settings::Guarantees;
-use milletwing_tenet::{Configuration, Kind};
-use milletwing_verity::{Report, LAST};
+use milletwing_config::settings::Guarantees;
+use milletwing_config::{Configuration, Kind};
+use milletwing_drift_detection::{Sample, Sink};
+use milletwing_outlier_detection::Felt;
+use milletwing_replicated_state::{State, View};
+use milletwing_sequential_test::{Report, LAST};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
@@ -156,7 +156,7 @@
 
 /// What an edge decides by.
 #[derive(Debug)]
-pub struct Course {
+pub struct Router {
     place: Place,
     bounds: Guarantees,
     table: Table,
@@ -181,10 +181,10 @@
     chance: Pcg64Mcg,
 }
 
-impl Course {
+impl Router {
     /// Knows nothing yet.
-    pub fn new(place: Place, bounds: Guarantees, seed: u64) -> Course {
-        Course {
+    pub fn new(place: Place, bounds: Guarantees, seed: u64) -> Router {
+        Router {
             place,
             bounds,
             table: Table::default(),
--- a/crates/course/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -2,9 +2,9 @@
 
 use ahash::RandomState;
 use hashbrown::HashMap;
-use milletwing_mirror::{Part, Sink};
-use milletwing_tenet::configuration::Class;
-use milletwing_tenet::Configuration;
+use milletwing_config::configuration::Class;
+use milletwing_config::Configuration;
+use milletwing_drift_detection::{Part, Sink};
 use std::rc::Rc;
 
 /// A route as requests need it.
--- a/crates/course/src/trial.rs
+++ b/crates/routing/src/trial.rs
@@ -1,12 +1,12 @@
 //! A version on trial, as this edge sees it: the coin within the cap, the covariate fixed before the send, the evidence
-//! and the vote (design; the test is `verity`'s).
+//! and the vote (design; the test is `sequential-test`'s).
 
 use crate::budget::Budget;
 use crate::Time;
 use hashbrown::HashMap;
-use milletwing_ledger::RollOut;
-use milletwing_tenet::configuration::Class;
-use milletwing_verity::{
+use milletwing_config::configuration::Class;
+use milletwing_replicated_state::RollOut;
+use milletwing_sequential_test::{
     cap, clock, pace, Report, Sums, Vote, Watch, CLASSES, COIN, COVARIATE_SPAN, LAST, UNSCORED,
 };
 use std::collections::VecDeque;
--- a/crates/course/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -3,26 +3,26 @@
 mod fixture;
 
 use fixture::{arrive, edge, node, view};
-use milletwing_course::marshal::Load;
-use milletwing_course::{Course, Place, Result as Ended, Ticket, Time};
-use milletwing_ledger::{Command, Node, Phase};
-use milletwing_suspicion::key;
-use milletwing_tenet::settings::Guarantees;
-use milletwing_tenet::Kind;
+use milletwing_config::settings::Guarantees;
+use milletwing_config::Kind;
+use milletwing_outlier_detection::key;
+use milletwing_replicated_state::{Command, Node, Phase};
+use milletwing_routing::marshal::Load;
+use milletwing_routing::{Place, Result as Ended, Router, Ticket, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[test]
 fn the_longest_prefix_of_the_host_decides() {
-    let mut course = edge(1, &view(4), 1, 1);
-    assert_eq!(arrive(&mut course, 1, "/look/x").route.name, "look");
-    assert_eq!(arrive(&mut course, 1, "/look/deep/x").route.name, "deep");
-    assert_eq!(course.arrive(1, "H.example:80", "/look/x", None).unwrap().route.name, "look");
+    let mut router = edge(1, &view(4), 1, 1);
+    assert_eq!(arrive(&mut router, 1, "/look/x").route.name, "look");
+    assert_eq!(arrive(&mut router, 1, "/look/deep/x").route.name, "deep");
+    assert_eq!(router.arrive(1, "H.example:80", "/look/x", None).unwrap().route.name, "look");
     for (host, path) in [("h.example", "/other/"), ("h.example", "/look"), ("g.example", "/look/x")] {
-        assert_eq!(course.arrive(1, host, path, None).unwrap_err(), Kind::NoRoute, "{host}{path}");
+        assert_eq!(router.arrive(1, host, path, None).unwrap_err(), Kind::NoRoute, "{host}{path}");
     }
-    let mut fresh = Course::new(
+    let mut fresh = Router::new(
         Place { id: 1, zone: "a".into(), region: "north".into(), zones: BTreeMap::new() },
         Guarantees::default(),
         1,
@@ -51,12 +51,12 @@
     ];
     for seed in 0..3_000 {
         let mut chance = Pcg64Mcg::seed_from_u64(seed);
-        let mut course = edge(seed as u32 % 7, &view(12), 1, 1);
-        (0..200).for_each(|_| drop(arrive(&mut course, 1, "/look/x")));
+        let mut router = edge(seed as u32 % 7, &view(12), 1, 1);
+        (0..200).for_each(|_| drop(arrive(&mut router, 1, "/look/x")));
         let path = if seed % 2 == 0 { "/order/x" } else { "/look/x" };
-        let (mut now, mut ticket) = (2, arrive(&mut course, 2, path));
+        let (mut now, mut ticket) = (2, arrive(&mut router, 2, path));
         let (mut may_have_run, mut arrivals, mut seen) = (0, 0, BTreeSet::new());
-        while let Ok(sending) = course.pick(now, &mut ticket) {
+        while let Ok(sending) = router.pick(now, &mut ticket) {
             assert!(seen.insert(sending.id.clone()) || ticket.route.class.repeatable() || may_have_run == 0);
             let at: usize = sending.id.rsplit('-').next().unwrap().parse().unwrap();
             assert!(path != "/order/x" || at % 4 < 2, "{} is outside the route's regions", sending.id);
@@ -67,8 +67,8 @@
                 end,
                 Ended::Served | Ended::Failed | Ended::Broken | Ended::Silent | Ended::Dropped
             ));
-            course.ended(now, &mut ticket, &sending, end, None);
-            if !course.again(now, &ticket, end) {
+            router.ended(now, &mut ticket, &sending, end, None);
+            if !router.again(now, &ticket, end) {
                 break;
             }
             assert!(path != "/order/x" || may_have_run == 0, "sent again after {end:?}");
@@ -81,11 +81,11 @@
 /// Under pressure what goes first still finds room when the rest is refused, at once and as not run.
 #[test]
 fn under_pressure_room_is_left_for_what_goes_first() {
-    let mut course = edge(1, &view(2), 1, 1);
+    let mut router = edge(1, &view(2), 1, 1);
     let mut count = |path: &str| {
         let full = |_: &u32| {
-            let mut ticket = arrive(&mut course, 1, path);
-            match course.pick(1, &mut ticket) {
+            let mut ticket = arrive(&mut router, 1, path);
+            match router.pick(1, &mut ticket) {
                 Ok(_) => true,
                 Err(kind) => {
                     assert_eq!(
@@ -112,13 +112,13 @@
     view.apply(102, &Command::NodeUp(node(3, "v2", Phase::Warm)));
     view.apply(103, &Command::NodeCold { id: "i-v1-2".into(), deal: Vec::new() });
     for id in 0..8 {
-        let mut course = edge(id, &view, 8, 1);
+        let mut router = edge(id, &view, 8, 1);
         for now in 1..2_000 {
-            let mut ticket = arrive(&mut course, now, if now % 3 == 0 { "/order/x" } else { "/look/x" });
-            let Ok(sending) = course.pick(now, &mut ticket) else { continue };
+            let mut ticket = arrive(&mut router, now, if now % 3 == 0 { "/order/x" } else { "/look/x" });
+            let Ok(sending) = router.pick(now, &mut ticket) else { continue };
             let closed = ["i-v1-0", "i-v1-1", "i-v1-5", "i-v1-9", "i-v2-3", "i-v1-2"];
             assert!(!closed.contains(&sending.id.as_ref()), "{} got a request", sending.id);
-            course.ended(now, &mut ticket, &sending, Ended::Served, Some(Load { running: 1, waiting: 0 }));
+            router.ended(now, &mut ticket, &sending, Ended::Served, Some(Load { running: 1, waiting: 0 }));
         }
     }
 }
@@ -129,16 +129,16 @@
     let mut view = view(0); // all press on the one that is cold
     let deal: Vec<(u32, u32)> = (0..3).map(|id| (id, if id < 2 { 9 } else { 8 })).collect();
     view.apply(100, &Command::NodeUp(Node { phase: Phase::Cold(deal), ..node(4, "v1", Phase::Warm) }));
-    let mut edges: Vec<Course> = (0..9).map(|id| edge(id, &view, 9, 1)).collect();
+    let mut edges: Vec<Router> = (0..9).map(|id| edge(id, &view, 9, 1)).collect();
     let mut sent: Vec<Time> = Vec::new();
     for now in 1..8_000 {
-        for course in &mut edges {
-            let mut ticket = arrive(course, now, "/look/x");
-            let Ok(sending) = course.pick(now, &mut ticket) else { continue };
+        for router in &mut edges {
+            let mut ticket = arrive(router, now, "/look/x");
+            let Ok(sending) = router.pick(now, &mut ticket) else { continue };
             if sending.id.as_ref() == "i-v1-4" {
                 sent.push(now);
             }
-            course.ended(now, &mut ticket, &sending, Ended::Served, None);
+            router.ended(now, &mut ticket, &sending, Ended::Served, None);
         }
     }
     let most =
@@ -152,24 +152,24 @@
     let bounds = Guarantees::default();
     for count in [1u32, 8, 40] {
         let view = view(16);
-        let mut edges: Vec<Course> = (0..count).map(|id| edge(id, &view, count, 1)).collect();
+        let mut edges: Vec<Router> = (0..count).map(|id| edge(id, &view, count, 1)).collect();
         let mut chance = Pcg64Mcg::seed_from_u64(u64::from(count));
         let (mut firsts, mut more): (Vec<Time>, Vec<Time>) = (Vec::new(), Vec::new());
         for now in (1..30_000).step_by(10) {
             // A quiet time, a press, a quiet time: what was earned in the press doesn't last.
             let rate = if (10_000..15_000).contains(&now) { 1.0 } else { 0.1 };
-            for course in &mut edges {
-                course.heard(now);
+            for router in &mut edges {
+                router.heard(now);
                 if !chance.random_bool(rate) {
                     continue;
                 }
                 firsts.push(now);
-                let mut ticket = arrive(course, now, "/look/x");
+                let mut ticket = arrive(router, now, "/look/x");
                 let mut sendings = 0;
-                while let Ok(sending) = course.pick(now, &mut ticket) {
+                while let Ok(sending) = router.pick(now, &mut ticket) {
                     sendings += 1;
-                    course.ended(now, &mut ticket, &sending, Ended::Broken, None);
-                    if !course.again(now, &ticket, Ended::Broken) {
+                    router.ended(now, &mut ticket, &sending, Ended::Broken, None);
+                    if !router.again(now, &ticket, Ended::Broken) {
                         break;
                     }
                 }
@@ -194,18 +194,18 @@
 /// One that can't be reached is found out by one request at a time, and none that may not run twice.
 #[test]
 fn an_unreachable_marshal_is_tried_by_what_may_run_twice() {
-    let mut course = edge(1, &view(1), 1, 1);
+    let mut router = edge(1, &view(1), 1, 1);
     let (mut probes, mut first) = (Vec::new(), true);
     for now in 1..20_000 {
         let order = now % 2 == 0;
-        let mut ticket = arrive(&mut course, now, if order { "/order/x" } else { "/look/x" });
-        match course.pick(now, &mut ticket) {
+        let mut ticket = arrive(&mut router, now, if order { "/order/x" } else { "/look/x" });
+        match router.pick(now, &mut ticket) {
             Ok(sending) => {
                 assert!(first || !order, "an order went to one that could not be reached");
                 // While one is out to find out, there is no other.
-                let mut second = arrive(&mut course, now, "/look/x");
-                assert!(first || course.pick(now, &mut second).is_err(), "two at once");
-                course.ended(now, &mut ticket, &sending, Ended::Unreached, None);
+                let mut second = arrive(&mut router, now, "/look/x");
+                assert!(first || router.pick(now, &mut second).is_err(), "two at once");
+                router.ended(now, &mut ticket, &sending, Ended::Unreached, None);
                 probes.push(now);
                 first = false;
             }
@@ -225,35 +225,35 @@
     for at in 0..12 {
         view.apply(101 + at as u64, &Command::NodeUp(node(at, "v22", Phase::Warm)));
     }
-    let mut edges: Vec<Course> = (0..9).map(|id| edge(id, &view, 9, 1)).collect();
+    let mut edges: Vec<Router> = (0..9).map(|id| edge(id, &view, 9, 1)).collect();
     let (mut all, mut new, mut late) = (0.0, 0.0, 0);
     for now in 1..12_000 {
-        for (at, course) in edges.iter_mut().enumerate() {
+        for (at, router) in edges.iter_mut().enumerate() {
             if now % 10 != at as u64 {
                 continue;
             }
             if now < 8_000 {
-                course.heard(now);
+                router.heard(now);
             }
             // Out of touch, it goes on by what marshals' health answers say.
-            for probe in course.probes(now, 8) {
-                course.probed(now, &probe, Some(true));
+            for probe in router.probes(now, 8) {
+                router.probed(now, &probe, Some(true));
             }
             let order = now % 20 < 10;
-            let mut ticket = arrive(course, now, if order { "/order/x" } else { "/look/x" });
+            let mut ticket = arrive(router, now, if order { "/order/x" } else { "/look/x" });
             all += 1.0;
-            let Ok(sending) = course.pick(now, &mut ticket) else { panic!("the earlier version serves") };
+            let Ok(sending) = router.pick(now, &mut ticket) else { panic!("the earlier version serves") };
             let fresh = sending.id.starts_with("i-v22");
             assert!(!(fresh && order), "an order went to a version at its first stage");
             new += f64::from(u8::from(fresh));
             late += u32::from(fresh && now >= 10_001);
             if fresh && now % 3 == 0 {
-                course.ended(now, &mut ticket, &sending, Ended::Broken, None);
-                if let Ok(second) = course.pick(now, &mut ticket) {
+                router.ended(now, &mut ticket, &sending, Ended::Broken, None);
+                if let Ok(second) = router.pick(now, &mut ticket) {
                     assert!(second.id.starts_with("i-v1"), "a further try went to the version on trial");
                 }
             } else {
-                course.ended(now, &mut ticket, &sending, Ended::Served, None);
+                router.ended(now, &mut ticket, &sending, Ended::Served, None);
             }
         }
     }
@@ -273,73 +273,73 @@
     for at in 0..4 {
         view.apply(101 + at as u64, &Command::NodeUp(node(at, "v22", Phase::Warm)));
     }
-    let mut course = edge(1, &view, 1, 1);
+    let mut router = edge(1, &view, 1, 1);
     let mut out = Vec::new();
     for now in 4_000..6_000 {
-        course.heard(now);
-        let mut ticket = arrive(&mut course, now, "/look/x");
-        let sending = course.pick(now, &mut ticket).unwrap();
+        router.heard(now);
+        let mut ticket = arrive(&mut router, now, "/look/x");
+        let sending = router.pick(now, &mut ticket).unwrap();
         if sending.id.starts_with("i-v22") {
             out.push((ticket, sending));
         } else {
-            course.ended(now, &mut ticket, &sending, Ended::Served, None);
+            router.ended(now, &mut ticket, &sending, Ended::Served, None);
         }
     }
     assert!(out.len() > 30, "{}", out.len());
-    let bad = |now: Time, course: &mut Course| {
-        (course.reports(now)[0].sums[0][1].n, course.reports(now)[0].sums[0][1].y)
+    let bad = |now: Time, router: &mut Router| {
+        (router.reports(now)[0].sums[0][1].n, router.reports(now)[0].sums[0][1].y)
     };
     // Beyond the aim all of them count, though none has ended.
     let all = out.len() as f64;
-    assert_eq!(bad(6_300, &mut course), (all, all));
+    assert_eq!(bad(6_300, &mut router), (all, all));
     // However they end, they count once.
     for (at, (mut ticket, sending)) in out.into_iter().enumerate() {
         match at % 3 {
-            0 => course.dropped(6_400, &sending),
-            1 => drop(course.ended(6_400, &mut ticket, &sending, Ended::Served, None)),
-            _ => drop(course.ended(6_400, &mut ticket, &sending, Ended::Silent, None)),
+            0 => router.dropped(6_400, &sending),
+            1 => drop(router.ended(6_400, &mut ticket, &sending, Ended::Served, None)),
+            _ => drop(router.ended(6_400, &mut ticket, &sending, Ended::Silent, None)),
         }
     }
-    assert_eq!(bad(6_500, &mut course), (all, all));
+    assert_eq!(bad(6_500, &mut router), (all, all));
     // One that this edge no longer waits for counts at once; a client that leaves early tells nothing.
     let mut count = 0;
     for now in 7_000..9_000 {
-        course.heard(now);
-        let mut ticket = arrive(&mut course, now, "/look/x");
-        let sending = course.pick(now, &mut ticket).unwrap();
+        router.heard(now);
+        let mut ticket = arrive(&mut router, now, "/look/x");
+        let sending = router.pick(now, &mut ticket).unwrap();
         if sending.id.starts_with("i-v22") {
             if now % 2 == 0 {
-                course.impatient(now, &sending);
+                router.impatient(now, &sending);
                 count += 1;
             }
-            course.dropped(now, &sending);
+            router.dropped(now, &sending);
         } else {
-            course.ended(now, &mut ticket, &sending, Ended::Served, None);
+            router.ended(now, &mut ticket, &sending, Ended::Served, None);
         }
     }
     assert!(count > 0);
-    assert_eq!(bad(9_000, &mut course), (all + f64::from(count), all + f64::from(count)));
+    assert_eq!(bad(9_000, &mut router), (all + f64::from(count), all + f64::from(count)));
 }
 
 /// An edge that meets a marshal once in many seconds goes by what others were told there, as long as that is fresh.
 #[test]
 fn loads_that_other_edges_were_told_steer_an_edge_that_met_nobody() {
     let view = view(12);
-    let mut course = edge(1, &view, 1, 1);
+    let mut router = edge(1, &view, 1, 1);
     let free = [2, 9];
     let loads: Vec<(u32, u16)> =
         (0..12).map(|at| (key(&format!("i-v1-{at}")), if free.contains(&at) { 1 } else { 30 })).collect();
     let mut sent = |now: Time, told: bool| -> BTreeMap<usize, u32> {
         let mut sent = BTreeMap::new();
-        course.heard(now);
+        router.heard(now);
         for _ in 0..200 {
             if told {
-                course.loads(now, &loads, 0);
+                router.loads(now, &loads, 0);
             }
-            let mut ticket = arrive(&mut course, now, "/look/x");
-            let sending = course.pick(now, &mut ticket).unwrap();
+            let mut ticket = arrive(&mut router, now, "/look/x");
+            let sending = router.pick(now, &mut ticket).unwrap();
             *sent.entry(sending.id.rsplit('-').next().unwrap().parse().unwrap()).or_default() += 1;
-            course.ended(now, &mut ticket, &sending, Ended::Dropped, None);
+            router.ended(now, &mut ticket, &sending, Ended::Dropped, None);
         }
         sent
     };
@@ -347,14 +347,14 @@
     let later = sent(20_000, false);
     assert!(later.keys().any(|at| !free.contains(at)), "what was told long ago shuts out nobody: {later:?}");
     // What it meets itself it tells, once.
-    course.heard(30_000);
-    let mut ticket = arrive(&mut course, 30_000, "/look/x");
-    let sending = course.pick(30_000, &mut ticket).unwrap();
-    course.ended(30_020, &mut ticket, &sending, Ended::Served, Some(Load { running: 4, waiting: 2 }));
-    let felt = course.felt(100);
+    router.heard(30_000);
+    let mut ticket = arrive(&mut router, 30_000, "/look/x");
+    let sending = router.pick(30_000, &mut ticket).unwrap();
+    router.ended(30_020, &mut ticket, &sending, Ended::Served, Some(Load { running: 4, waiting: 2 }));
+    let felt = router.felt(100);
     let of = felt.iter().find(|felt| felt.host == key(&sending.id)).unwrap();
     assert_eq!((of.good, of.bad, of.lost, of.load), (1, 0, 0, Some(5)), "itself has left");
-    assert!(course.felt(100).is_empty());
+    assert!(router.felt(100).is_empty());
 }
 
 /// Half of the new version's marshals stand in a zone that goes dark, none of the earlier one's: what breaks off there for want
@@ -367,23 +367,23 @@
         for at in 0..12 {
             view.apply(101 + at as u64, &Command::NodeUp(node(at, "v22", Phase::Warm)));
         }
-        let mut course = edge(1, &view, 1, 1);
+        let mut router = edge(1, &view, 1, 1);
         let lost = |id: &str| {
             id.starts_with("i-v22-") && id.rsplit('-').next().unwrap().parse::<u32>().unwrap() % 4 < 2
         };
-        let mut out: Vec<(Time, Ticket, milletwing_course::Sending, Ended)> = Vec::new();
+        let mut out: Vec<(Time, Ticket, milletwing_routing::Sending, Ended)> = Vec::new();
         for now in 4_000..12_000 {
-            course.heard(now);
+            router.heard(now);
             out.sort_by_key(|(due, ..)| std::cmp::Reverse(*due));
             while out.last().is_some_and(|(due, ..)| *due <= now) {
                 let (_, mut ticket, sending, end) = out.pop().unwrap();
-                course.ended(now, &mut ticket, &sending, end, None);
+                router.ended(now, &mut ticket, &sending, end, None);
             }
             if now % 100 == 0 {
-                course.reports(now); // time-outs count as they happen
+                router.reports(now); // time-outs count as they happen
             }
-            let mut ticket = arrive(&mut course, now, "/look/x");
-            let Ok(sending) = course.pick(now, &mut ticket) else { continue };
+            let mut ticket = arrive(&mut router, now, "/look/x");
+            let Ok(sending) = router.pick(now, &mut ticket) else { continue };
             let (due, end) = match (now >= 9_000 && lost(&sending.id), hangs) {
                 (false, _) => (now + 40, Ended::Served),
                 // On a connection that was open: 0.7 s without a sign that bytes arrive; on a new one none comes up.
@@ -395,9 +395,9 @@
         }
         out.sort_by_key(|(due, ..)| *due);
         for (due, mut ticket, sending, end) in out {
-            course.ended(due, &mut ticket, &sending, end, None);
+            router.ended(due, &mut ticket, &sending, end, None);
         }
-        let report = &course.reports(15_000)[0];
+        let report = &router.reports(15_000)[0];
         let [old, new] = report.sums[0];
         assert!(new.n > 100.0 && old.y == 0.0, "{} of the new, {} bad of the old", new.n, old.y);
         assert_eq!(new.y > 20.0, hangs, "{} bad of {}", new.y, new.n);
--- a/crates/course/tests/drift.rs
+++ b/crates/routing/tests/drift.rs
@@ -1,11 +1,11 @@
 //! Edges that route by something else than what was agreed: a core's checker and healer and many edges in one process, whose
 //! tables are turned wrong by hand. Judged after the fact: who was named when, and what was done to whom.
 
-use milletwing_course::table::Table;
-use milletwing_course::{intent, Course, Place, Time};
-use milletwing_ledger::{Command, Node, Phase, View};
-use milletwing_mirror::{Checker, Digest, Finding, Healer, Names, Part, Reflection, Step};
-use milletwing_tenet::settings::Guarantees;
+use milletwing_config::settings::Guarantees;
+use milletwing_drift_detection::{Checker, Digest, Finding, Healer, Names, Part, Reflection, Step};
+use milletwing_replicated_state::{Command, Node, Phase, View};
+use milletwing_routing::table::Table;
+use milletwing_routing::{intent, Place, Router, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
@@ -40,7 +40,7 @@
 }
 
 struct Edge {
-    course: Course,
+    router: Router,
     view: View,
     zone: String,
     life: u64,
@@ -82,9 +82,9 @@
         for id in 1..=edges {
             let zone = ["a", "b", "c"][id as usize % 3].to_owned();
             let place = Place { id, zone: zone.clone(), region: "north".into(), zones: BTreeMap::new() };
-            let course = Course::new(place, Guarantees::default(), u64::from(id));
+            let router = Router::new(place, Guarantees::default(), u64::from(id));
             let edge = Edge {
-                course,
+                router,
                 view: View::default(),
                 zone,
                 life: 1,
@@ -113,7 +113,7 @@
         for (id, edge) in &mut self.edges {
             if !lost.contains(id) {
                 edge.view.apply(index, &command);
-                edge.course.refresh(self.now, &edge.view);
+                edge.router.refresh(self.now, &edge.view);
             }
         }
     }
@@ -170,7 +170,7 @@
                 );
             }
         }
-        edge.course.renew(now, &other);
+        edge.router.renew(now, &other);
         edge.wrong = Some((now, way));
     }
 
@@ -197,7 +197,7 @@
             }
             edge.reflected = now;
             let mut digest = Digest::default();
-            edge.course.reflect(&mut digest);
+            edge.router.reflect(&mut digest);
             let reflection = Reflection { index: edge.view.index, digest };
             let wanted = self.checker.kept(edge.view.index).copied().map(|mut wanted| {
                 if edge.view.index != self.view.index {
@@ -221,7 +221,7 @@
                 Step::Again => {}
                 Step::Renew if mend => {
                     edge.view = self.view.clone();
-                    edge.course.renew(now, &edge.view);
+                    edge.router.renew(now, &edge.view);
                     edge.wrong = None;
                 }
                 Step::Renew => {}
@@ -234,9 +234,9 @@
                         region: "north".into(),
                         zones: BTreeMap::new(),
                     };
-                    edge.course = Course::new(place, Guarantees::default(), now);
+                    edge.router = Router::new(place, Guarantees::default(), now);
                     edge.view = self.view.clone();
-                    edge.course.refresh(now, &edge.view);
+                    edge.router.refresh(now, &edge.view);
                     (edge.life, edge.resting, edge.wrong) = (edge.life + 1, false, None);
                     self.checker.attach(now, order.edge, edge.life);
                 }
@@ -326,15 +326,15 @@
         let command = edge.view.to_configure(99, &body(99, 3)).unwrap();
         let index = edge.view.index + 1;
         edge.view.apply(index, &command);
-        edge.course.refresh(world.now, &edge.view);
+        edge.router.refresh(world.now, &edge.view);
     });
     assert_eq!(ahead, Some(Finding::Ahead));
     // The same tables made in another order are the same.
     let order = kind(&|world| {
         let edge = world.edges.get_mut(&4).unwrap();
         let empty = View::default();
-        edge.course.renew(world.now, &empty);
-        edge.course.renew(world.now, &edge.view);
+        edge.router.renew(world.now, &empty);
+        edge.router.renew(world.now, &edge.view);
     });
     assert_eq!(order, None);
     // Beats without a word on what it routes by; and one that is not heard at all is unknown, not drifted.
@@ -403,10 +403,10 @@
     world.table.reflect(&mut wanted);
     intent::core(&world.view, &mut wanted);
     intent::deals(&world.view, 2, &mut wanted);
-    world.edges[&2].course.reflect(&mut have);
+    world.edges[&2].router.reflect(&mut have);
     assert_eq!(wanted.against(&have, 8), ["hosts i-0-0 differs"]);
-    world.edges[&1].course.reflect(&mut Names::default());
+    world.edges[&1].router.reflect(&mut Names::default());
     let mut same = Names::default();
-    world.edges[&1].course.reflect(&mut same);
+    world.edges[&1].router.reflect(&mut same);
     assert!(wanted.against(&same, 8).is_empty());
 }
--- a/crates/course/tests/outage.rs
+++ b/crates/routing/tests/outage.rs
@@ -3,10 +3,10 @@
 mod fixture;
 
 use fixture::{arrive, edge, node, view};
-use milletwing_course::{Course, Result as Ended, Time};
-use milletwing_ledger::{Command, Phase, View};
-use milletwing_tenet::settings::Guarantees;
-use milletwing_tenet::Kind;
+use milletwing_config::settings::Guarantees;
+use milletwing_config::Kind;
+use milletwing_replicated_state::{Command, Phase, View};
+use milletwing_routing::{Result as Ended, Router, Time};
 
 /// When the core falls silent, when the one marshal in reach turns cold, and the end.
 const SILENT: Time = 1_000;
@@ -22,26 +22,26 @@
 }
 
 /// Sends as much as it may to the one marshal, and asks for its health as it is told to. Gives the times of what was sent.
-fn press(course: &mut Course, probes: bool) -> Vec<Time> {
+fn press(router: &mut Router, probes: bool) -> Vec<Time> {
     let mut sent = Vec::new();
     let mut asked = Vec::new();
     for now in 2..END {
         if now <= SILENT {
-            course.heard(now);
+            router.heard(now);
         }
         if now % 20 == 0 {
             // Fifty requests a second.
-            let mut ticket = arrive(course, now, "/look/x");
-            if let Ok(sending) = course.pick(now, &mut ticket) {
+            let mut ticket = arrive(router, now, "/look/x");
+            if let Ok(sending) = router.pick(now, &mut ticket) {
                 sent.push(now);
-                course.ended(now, &mut ticket, &sending, Ended::Served, None);
+                router.ended(now, &mut ticket, &sending, Ended::Served, None);
             }
         }
         if probes && now % 100 == 0 {
-            asked.extend(course.probes(now, 8).into_iter().map(|probe| (now + ANSWERS, probe)));
+            asked.extend(router.probes(now, 8).into_iter().map(|probe| (now + ANSWERS, probe)));
         }
         for (_, probe) in asked.extract_if(.., |(at, _)| *at <= now) {
-            course.probed(now, &probe, Some(now < COLD));
+            router.probed(now, &probe, Some(now < COLD));
         }
     }
     sent
@@ -62,8 +62,8 @@
     lone(&mut view);
     let mut all = Vec::new();
     for id in [0, 4] {
-        let mut course = edge(id, &view, 9, 1);
-        let sent = press(&mut course, true);
+        let mut router = edge(id, &view, 9, 1);
+        let sent = press(&mut router, true);
         let warm = sent.iter().filter(|at| (4_500..5_500).contains(*at)).count();
         assert!(warm >= 45, "a marshal that says that it is warm gets its part: {warm} in a second");
         all.extend(sent);
@@ -82,8 +82,8 @@
     lone(&mut view);
     let mut all = Vec::new();
     for id in 0..9 {
-        let mut course = edge(id, &view, 9, 1);
-        all.extend(press(&mut course, false));
+        let mut router = edge(id, &view, 9, 1);
+        all.extend(press(&mut router, false));
     }
     all.sort_unstable();
     let after = worst(&all, SILENT + 4_100);
@@ -94,24 +94,24 @@
 fn an_edge_in_touch_asks_nobody_for_its_health() {
     let mut view = view(0);
     lone(&mut view);
-    let mut course = edge(0, &view, 9, 1);
+    let mut router = edge(0, &view, 9, 1);
     for now in 1..10_000 {
-        course.heard(now);
-        let mut ticket = arrive(&mut course, now, "/look/x");
-        if let Ok(sending) = course.pick(now, &mut ticket) {
-            course.ended(now, &mut ticket, &sending, Ended::Served, None);
+        router.heard(now);
+        let mut ticket = arrive(&mut router, now, "/look/x");
+        if let Ok(sending) = router.pick(now, &mut ticket) {
+            router.ended(now, &mut ticket, &sending, Ended::Served, None);
         }
-        assert!(course.probes(now, 8).is_empty());
+        assert!(router.probes(now, 8).is_empty());
     }
 }
 
 #[test]
 fn an_edge_that_lost_the_core_refuses_no_route_for_good() {
-    let mut course = edge(0, &view(1), 9, 1);
-    let refused = |course: &mut Course, now| course.arrive(now, "h.example", "/newer/", None).unwrap_err();
-    assert_eq!(refused(&mut course, 3_000), Kind::NoRoute);
-    let kind = refused(&mut course, 9_000);
+    let mut router = edge(0, &view(1), 9, 1);
+    let refused = |router: &mut Router, now| router.arrive(now, "h.example", "/newer/", None).unwrap_err();
+    assert_eq!(refused(&mut router, 3_000), Kind::NoRoute);
+    let kind = refused(&mut router, 9_000);
     assert_eq!((kind.clone(), kind.answer().status, kind.answer().promise), (Kind::OutOfTouch, 503, true));
-    course.heard(9_000);
-    assert_eq!(refused(&mut course, 9_100), Kind::NoRoute);
+    router.heard(9_000);
+    assert_eq!(refused(&mut router, 9_100), Kind::NoRoute);
 }
--- a/crates/course/tests/tries.rs
+++ b/crates/routing/tests/tries.rs
@@ -4,8 +4,8 @@
 mod fixture;
 
 use fixture::{arrive, body, edge, view};
-use milletwing_course::{Course, Result as Ended, Sending, Ticket, Time};
-use milletwing_ledger::View;
+use milletwing_replicated_state::View;
+use milletwing_routing::{Result as Ended, Router, Sending, Ticket, Time};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -37,8 +37,8 @@
 
 impl Request {
     /// Whoever asks for a sending, for whatever reason, asks here: a retry, a hedge, a caller that forgot to check.
-    fn send(&mut self, course: &mut Course, now: Time, limit: u32) -> bool {
-        let Ok(sending) = course.pick(now, &mut self.ticket) else { return false };
+    fn send(&mut self, router: &mut Router, now: Time, limit: u32) -> bool {
+        let Ok(sending) = router.pick(now, &mut self.ticket) else { return false };
         self.reached.insert(Rc::clone(&sending.id));
         self.out.push(sending);
         let reached = self.reached.len() as u32;
@@ -46,7 +46,7 @@
         reached == limit
     }
 
-    fn end(&mut self, course: &mut Course, now: Time, chance: &mut Pcg64Mcg) {
+    fn end(&mut self, router: &mut Router, now: Time, chance: &mut Pcg64Mcg) {
         if self.out.is_empty() {
             return;
         }
@@ -54,7 +54,7 @@
         let arrived = chance.random_bool(0.7);
         let ends: &[Ended] = if arrived { &ARRIVED } else { &NOT_ARRIVED };
         let end = *ends.choose(chance).unwrap();
-        course.ended(now, &mut self.ticket, &sending, end, None);
+        router.ended(now, &mut self.ticket, &sending, end, None);
         if !arrived {
             self.reached.remove(&sending.id);
         }
@@ -69,25 +69,25 @@
         let mut view = view(12);
         let at_arrival = chance.random_range(1..4);
         with_limit(&mut view, 2, at_arrival);
-        let mut course = edge(seed as u32 % 7, &view, 1, 1);
+        let mut router = edge(seed as u32 % 7, &view, 1, 1);
         // Budget enough that the limit alone decides.
-        (0..400).for_each(|_| drop(arrive(&mut course, 1, "/look/x")));
-        let ticket = arrive(&mut course, 2, "/look/x");
+        (0..400).for_each(|_| drop(arrive(&mut router, 1, "/look/x")));
+        let ticket = arrive(&mut router, 2, "/look/x");
         let mut request = Request { ticket, out: Vec::new(), reached: BTreeSet::new() };
         let (mut now, mut revision, mut current) = (2, 2, at_arrival);
         for _ in 0..STEPS {
             now += chance.random_range(1..20);
             match chance.random_range(0..10) {
                 0..5 => {
-                    let full = request.send(&mut course, now, at_arrival.min(current));
+                    let full = request.send(&mut router, now, at_arrival.min(current));
                     at_the_limit += u32::from(full && current > 1);
                 }
-                5..9 => request.end(&mut course, now, &mut chance),
+                5..9 => request.end(&mut router, now, &mut chance),
                 _ => {
                     // What is out stays out; the limit counts for what is sent from now on.
                     (revision, current) = (revision + 1, chance.random_range(1..4));
                     with_limit(&mut view, revision, current);
-                    course.refresh(now, &view);
+                    router.refresh(now, &view);
                 }
             }
         }
--- a/crates/verity/tests/population.rs
+++ b/crates/sequential-test/tests/population.rs
@@ -1,7 +1,9 @@
 //! A population of proxies and a core that tallies, over many seeds: how often a good version goes back, and how soon a bad
 //! one does. Requests are drawn as one proxy of a fleet sees them.
 
-use milletwing_verity::{cap, clock, pace, Move, Report, Sums, Tally, Time, Watch, CLASSES, COIN, LAST};
+use milletwing_sequential_test::{
+    cap, clock, pace, Move, Report, Sums, Tally, Time, Watch, CLASSES, COIN, LAST,
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
--- a/crates/archive/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -7,7 +7,7 @@
 pub use writer::{Backoff, Report, Writer};
 
 use derive_more::{Display, Error};
-use milletwing_accord::{Batch, Stored};
+use milletwing_consensus::{Batch, Stored};
 use redb::backends::InMemoryBackend;
 use redb::{Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 use std::io::ErrorKind;
@@ -59,7 +59,7 @@
 /// What was found under a path.
 pub struct Opened {
     /// The file.
-    pub archive: Archive,
+    pub store: LogStore,
     /// What it holds.
     pub stored: Stored,
     /// What was wrong with an earlier file in its place, and where that stays.
@@ -67,7 +67,7 @@
 }
 
 /// An open file.
-pub struct Archive(Database);
+pub struct LogStore(Database);
 
 fn sealed(value: &[u8]) -> Vec<u8> {
     let mut out = crc32fast::hash(value).to_be_bytes().to_vec();
@@ -81,25 +81,25 @@
     fits.then(|| value.to_vec()).ok_or_else(|| Fault::Damaged(format!("{what} does not fit its checksum")))
 }
 
-/// A number as [`Archive`]'s users keep it in a field; 0 where it isn't one.
+/// A number as [`LogStore`]'s users keep it in a field; 0 where it isn't one.
 pub fn number(bytes: Vec<u8>) -> u64 {
     <[u8; 8]>::try_from(bytes.as_slice()).map_or(0, u64::from_be_bytes)
 }
 
-impl Archive {
+impl LogStore {
     /// One that ends with the process.
-    pub fn memory() -> Result<Archive, Fault> {
-        Ok(Archive(Database::builder().create_with_backend(InMemoryBackend::new())?))
+    pub fn memory() -> Result<LogStore, Fault> {
+        Ok(LogStore(Database::builder().create_with_backend(InMemoryBackend::new())?))
     }
 
     /// Opens or makes the file. `cache`: bytes of memory that it may use for pages.
-    pub fn file(path: &Path, cache: usize) -> Result<Archive, Fault> {
-        Ok(Archive(Database::builder().set_cache_size(cache).create(path)?))
+    pub fn file(path: &Path, cache: usize) -> Result<LogStore, Fault> {
+        Ok(LogStore(Database::builder().set_cache_size(cache).create(path)?))
     }
 
     /// Over a backend of the caller's, as tests need it.
-    pub fn with_backend(backend: impl StorageBackend) -> Result<Archive, Fault> {
-        Ok(Archive(Database::builder().create_with_backend(backend)?))
+    pub fn with_backend(backend: impl StorageBackend) -> Result<LogStore, Fault> {
+        Ok(LogStore(Database::builder().create_with_backend(backend)?))
     }
 
     /// Opens the file, or moves one that is damaged out of the way and makes another: the machine then is one that lost its
@@ -110,22 +110,22 @@
         cache: usize,
         sound: impl Fn(&Stored) -> Result<(), String>,
     ) -> Result<Opened, Fault> {
-        let open = || -> Result<(Archive, Stored), Fault> {
-            let archive = Archive::file(path, cache)?;
-            let stored = archive.load()?;
+        let open = || -> Result<(LogStore, Stored), Fault> {
+            let store = LogStore::file(path, cache)?;
+            let stored = store.load()?;
             sound(&stored).map_err(Fault::Damaged)?;
-            Ok((archive, stored))
+            Ok((store, stored))
         };
         let why = match quietly(open) {
-            Ok((archive, stored)) => return Ok(Opened { archive, stored, damage: None }),
+            Ok((store, stored)) => return Ok(Opened { store, stored, damage: None }),
             Err(refused @ Fault::Refused(_)) => return Err(refused),
             Err(Fault::Damaged(why)) => why,
         };
         let aside = PathBuf::from(format!("{}.damaged", path.display()));
         std::fs::rename(path, &aside).map_err(Fault::Refused)?;
-        let (archive, stored) = quietly(open)?;
+        let (store, stored) = quietly(open)?;
         let damage = format!("{}: {why}; it stays as {}", path.display(), aside.display());
-        Ok(Opened { archive, stored, damage: Some(damage) })
+        Ok(Opened { store, stored, damage: Some(damage) })
     }
 
     /// A field of its own, beside the agreement's.
--- a/crates/archive/src/writer.rs
+++ b/crates/storage/src/writer.rs
@@ -1,8 +1,8 @@
 //! Writes that go on over a disk that refuses for a while: each batch is tried again with growing pauses, on the file opened anew,
 //! until it is down. Nothing is reported as written before it is synced.
 
-use crate::{Archive, Fault};
-use milletwing_accord::Batch;
+use crate::{Fault, LogStore};
+use milletwing_consensus::Batch;
 use std::time::Duration;
 
 /// The first and the longest pause before what was refused is tried again.
@@ -34,25 +34,25 @@
 
 /// Writes batches to a file that is opened anew after each refusal.
 pub struct Writer<Open> {
-    archive: Option<Archive>,
+    store: Option<LogStore>,
     open: Open,
 }
 
-impl<Open: FnMut() -> Result<Archive, Fault>> Writer<Open> {
-    /// `archive` is open; `open` opens it again.
-    pub fn new(archive: Archive, open: Open) -> Writer<Open> {
-        Writer { archive: Some(archive), open }
+impl<Open: FnMut() -> Result<LogStore, Fault>> Writer<Open> {
+    /// `store` is open; `open` opens it again.
+    pub fn new(store: LogStore, open: Open) -> Writer<Open> {
+        Writer { store: Some(store), open }
     }
 
     /// Tries once to write and sync a batch. The same batch may be written any number of times: it replaces what stands from its
     /// first index on. Errors: the disk refused, or the file is damaged.
     pub fn attempt(&mut self, batch: &Batch) -> Result<(), Fault> {
-        let archive = match self.archive.take() {
-            Some(archive) => archive,
+        let store = match self.store.take() {
+            Some(store) => store,
             None => (self.open)()?,
         };
-        archive.write(batch)?;
-        self.archive = Some(archive);
+        store.write(batch)?;
+        self.store = Some(store);
         Ok(())
     }
 
--- a/crates/archive/tests/bound.rs
+++ b/crates/storage/tests/bound.rs
@@ -1,13 +1,13 @@
 //! The file stays small however many changes it has seen, and what is in it comes back.
 
-use milletwing_accord::Batch;
-use milletwing_archive::Archive;
+use milletwing_consensus::Batch;
+use milletwing_storage::LogStore;
 
 #[test]
 fn ten_thousand_changes_fit_in_the_stated_figure() {
-    let path = std::env::temp_dir().join(format!("archive-bound-{}.redb", std::process::id()));
+    let path = std::env::temp_dir().join(format!("store-bound-{}.redb", std::process::id()));
     let _ = std::fs::remove_file(&path);
-    let archive = Archive::file(&path, 1 << 20).unwrap();
+    let store = LogStore::file(&path, 1 << 20).unwrap();
     let entry = |index: u64| (index, vec![index as u8; 300]);
     for from in (1..=10_000).step_by(20) {
         let mut batch = Batch { entries: (from..from + 20).map(entry).collect(), ..Batch::default() };
@@ -15,11 +15,11 @@
             // As the core has it: a snapshot every thousand entries, a quarter of them stays behind it.
             batch.snapshot = Some((vec![7; 60_000], from + 20 - 250));
         }
-        archive.write(&batch).unwrap();
+        store.write(&batch).unwrap();
     }
     let size = std::fs::metadata(&path).unwrap().len();
-    drop(archive);
-    let stored = Archive::file(&path, 1 << 20).unwrap().load().unwrap();
+    drop(store);
+    let stored = LogStore::file(&path, 1 << 20).unwrap().load().unwrap();
     std::fs::remove_file(&path).unwrap();
     assert_eq!((stored.entries.len(), stored.snapshot.map(|it| it.len())), (250, Some(60_000)));
     assert!(size <= 8 << 20, "{size} bytes on disk");
--- a/crates/archive/tests/refusals.rs
+++ b/crates/storage/tests/refusals.rs
@@ -1,8 +1,8 @@
 //! A disk that refuses at any call, in the middle of a batch: the batch is tried again until it is down, and whatever a start
 //! finds meanwhile is what stood before it or all of it.
 
-use milletwing_accord::{Batch, Stored};
-use milletwing_archive::{Archive, Fault, Report, Writer};
+use milletwing_consensus::{Batch, Stored};
+use milletwing_storage::{Fault, LogStore, Report, Writer};
 use redb::backends::InMemoryBackend;
 use redb::StorageBackend;
 use std::io::{Error, ErrorKind};
@@ -35,8 +35,8 @@
         taken.map(drop).map_err(|_| Error::from(ErrorKind::StorageFull))
     }
 
-    fn open(&self) -> Result<Archive, Fault> {
-        Archive::with_backend(self.clone())
+    fn open(&self) -> Result<LogStore, Fault> {
+        LogStore::with_backend(self.clone())
     }
 
     /// What a start finds now, on a disk that takes writes again.
@@ -85,9 +85,9 @@
     let mut refused_batches = 0;
     for calls in 0..40 {
         let disk = Disk::new();
-        let archive = disk.open().unwrap();
+        let store = disk.open().unwrap();
         let opening = disk.clone();
-        let mut writer = Writer::new(archive, move || opening.open());
+        let mut writer = Writer::new(store, move || opening.open());
         writer.attempt(&batch(0)).unwrap();
         disk.allow(calls);
         let mut reports = Vec::new();
@@ -119,24 +119,24 @@
 
 #[test]
 fn a_file_that_is_damaged_is_moved_away_and_one_that_cant_be_opened_stays() {
-    let folder = std::env::temp_dir().join(format!("archive-refusals-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("store-refusals-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
     let path = folder.join("core.redb");
     std::fs::write(&path, vec![7; 10_000]).unwrap();
-    let opened = Archive::file_or_anew(&path, 1 << 20, |_| Ok(())).unwrap();
+    let opened = LogStore::file_or_anew(&path, 1 << 20, |_| Ok(())).unwrap();
     assert!(opened.damage.is_some() && opened.stored.hard.is_none());
-    opened.archive.write(&batch(3)).unwrap();
+    opened.store.write(&batch(3)).unwrap();
     drop(opened);
     // What it holds whole, and can't be used, is damaged as well.
     let useless = |stored: &Stored| if stored.hard.is_some() { Err("useless".into()) } else { Ok(()) };
-    let opened = Archive::file_or_anew(&path, 1 << 20, useless).unwrap();
+    let opened = LogStore::file_or_anew(&path, 1 << 20, useless).unwrap();
     assert!(opened.damage.is_some_and(|damage| damage.contains("useless")) && opened.stored.hard.is_none());
-    drop(opened.archive);
+    drop(opened.store);
     // A folder in the file's place can be opened by nobody: an error of the disk, and nothing is moved.
     let taken = folder.join("taken.redb");
     std::fs::create_dir(&taken).unwrap();
-    assert!(matches!(Archive::file_or_anew(&taken, 1 << 20, |_| Ok(())), Err(Fault::Refused(_))));
+    assert!(matches!(LogStore::file_or_anew(&taken, 1 << 20, |_| Ok(())), Err(Fault::Refused(_))));
     assert!(taken.is_dir());
     std::fs::remove_dir_all(&folder).unwrap();
 }
--- a/crates/helm/src/calls.rs
+++ b/crates/system/src/calls.rs
@@ -5,7 +5,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use hyper_util::rt::TokioIo;
-use milletwing_tenet::Configuration;
+use milletwing_config::Configuration;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
--- a/crates/helm/src/disk.rs
+++ b/crates/system/src/disk.rs
@@ -1,8 +1,8 @@
 //! What a stopped core machine's file holds.
 
-use milletwing_accord::{inspect, Payload};
-use milletwing_archive::Archive;
-use milletwing_ledger::{Command, View};
+use milletwing_consensus::{inspect, Payload};
+use milletwing_replicated_state::{Command, View};
+use milletwing_storage::LogStore;
 use serde_json::json;
 use std::net::Ipv4Addr;
 use std::path::Path;
@@ -17,8 +17,8 @@
     if !Path::new(path).is_file() {
         return Err(wrong(&"there is no such file"));
     }
-    let archive = Archive::file(Path::new(path), CACHE).map_err(|problem| wrong(&problem))?;
-    let stored = archive.load().map_err(|problem| wrong(&problem))?;
+    let store = LogStore::file(Path::new(path), CACHE).map_err(|problem| wrong(&problem))?;
+    let stored = store.load().map_err(|problem| wrong(&problem))?;
     let found = inspect(&stored).map_err(|problem| wrong(&problem))?;
     let mut view = View::unpacked(&found.data).map_err(|problem| wrong(&problem))?;
     let mut entries = Vec::new();
--- a/crates/helm/src/main.rs
+++ b/crates/system/src/main.rs
@@ -1,4 +1,4 @@
-//! The system's program: `carrier` and `steward` are the roles of its machines, the rest are operators' calls.
+//! The system's program: `edge-proxy` and `control-plane` are the roles of its machines, the rest are operators' calls.
 
 mod calls;
 mod deploy;
@@ -6,7 +6,7 @@
 mod drift;
 
 use clap::{Arg, ArgMatches, Command};
-use milletwing_tenet::Settings;
+use milletwing_config::Settings;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, SignalKind};
@@ -35,12 +35,12 @@
             Arg::new("json").long("json").action(clap::ArgAction::SetTrue).help("the core's answer as it is"),
         )
     };
-    Command::new("helm")
+    Command::new("milletwing-system")
         .about("milletwing's global load balancer")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
-        .subcommand(role("carrier", "Runs an edge: carries traffic until SIGTERM"))
-        .subcommand(role("steward", "Runs a machine of the core until SIGTERM"))
+        .subcommand(role("edge-proxy", "Runs an edge: carries traffic until SIGTERM"))
+        .subcommand(role("control-plane", "Runs a machine of the core until SIGTERM"))
         .subcommand(Command::new("check-system").about("Checks a deploy file").arg(file()))
         .subcommand(Command::new("check-settings").about("Checks a settings file").arg(file()))
         .subcommand(
@@ -120,19 +120,19 @@
 }
 
 fn fail(problem: &str) -> ExitCode {
-    eprintln!("helm: {problem}");
+    eprintln!("milletwing-system: {problem}");
     ExitCode::from(2)
 }
 
 async fn run(given: &ArgMatches) -> Result<(), String> {
     match given.subcommand() {
-        Some(("carrier", given)) => {
+        Some(("edge-proxy", given)) => {
             let (settings, path, leave) = begin(given)?;
-            milletwing_carrier::run(settings, &path, leave).await
+            milletwing_edge_proxy::run(settings, &path, leave).await
         }
-        Some(("steward", given)) => {
+        Some(("control-plane", given)) => {
             let (settings, path, leave) = begin(given)?;
-            milletwing_steward::run(settings, &path, leave).await
+            milletwing_control_plane::run(settings, &path, leave).await
         }
         Some(("check-system", given)) => deploy::check(&text(given)?).map(|said| println!("{said}")),
         Some(("check-settings", given)) => {
@@ -165,8 +165,8 @@
 
 /// Reads the settings, starts the log, and listens for signals: SIGTERM ends, SIGHUP changes nothing by itself, since the
 /// file is watched.
-fn begin(given: &ArgMatches) -> Result<(Settings, PathBuf, milletwing_carrier::Leave), String> {
-    milletwing_tenet::event::start(&std::env::var("MILLETWING_LOG").unwrap_or_default());
+fn begin(given: &ArgMatches) -> Result<(Settings, PathBuf, milletwing_edge_proxy::Leave), String> {
+    milletwing_config::event::start(&std::env::var("MILLETWING_LOG").unwrap_or_default());
     let path = match given.get_one::<String>("settings") {
         Some(path) => PathBuf::from(path),
         None => std::env::var_os("MILLETWING_BOOT")
--- a/crates/helm/tests/place/mod.rs
+++ b/crates/system/tests/place/mod.rs
@@ -70,7 +70,7 @@
     pub fn new(name: &str) -> Place {
         let at = NETS.fetch_add(1, Ordering::SeqCst);
         let net = 0x7f00_0000 + (std::process::id() % 199 + 1) * 0x1_0000 + (at + 1) * 0x100;
-        let folder = std::env::temp_dir().join(format!("helm-{name}-{}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!("system-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
         Place { net, folder }
@@ -106,7 +106,7 @@
         );
         let path = self.folder.join(format!("{role}{host}.toml"));
         std::fs::write(&path, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_helm"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_milletwing-system"))
             .arg(role)
             .env("MILLETWING_BOOT", &path)
             .env("MILLETWING_LOG", "debug")
@@ -120,7 +120,7 @@
     }
 
     pub fn core(&self) -> Vec<Process> {
-        let core: Vec<Process> = (1..=3).map(|host| self.start("steward", host, true)).collect();
+        let core: Vec<Process> = (1..=3).map(|host| self.start("control-plane", host, true)).collect();
         core.iter().for_each(|process| drop(process.until("M100")));
         core
     }
@@ -172,8 +172,8 @@
         self.order(hosts, "PUT", &format!("/milletwing/nodes/{id}"), "", &body).0
     }
 
-    pub fn helm(&self, arguments: &[&str]) -> (bool, String) {
-        let out = Command::new(env!("CARGO_BIN_EXE_helm")).args(arguments).output().unwrap();
+    pub fn command(&self, arguments: &[&str]) -> (bool, String) {
+        let out = Command::new(env!("CARGO_BIN_EXE_milletwing-system")).args(arguments).output().unwrap();
         let text = [out.stdout, out.stderr].concat();
         (out.status.success(), String::from_utf8_lossy(&text).into_owned())
     }
--- a/crates/helm/tests/races.rs
+++ b/crates/system/tests/races.rs
@@ -1,7 +1,7 @@
 //! Operators that race each other against three real core machines which are killed, stopped and started again meanwhile. What they
 //! saw is judged as in simulated time: a register changed by compare-and-set, with calls whose outcome is not known.
 
-#[path = "../../steward/tests/control/history.rs"]
+#[path = "../../control-plane/tests/control/history.rs"]
 mod history;
 mod place;
 
@@ -124,7 +124,7 @@
                 process.signal("CONT");
             } else {
                 core[at] = None;
-                let process = place.start("steward", at as u32 + 1, false);
+                let process = place.start("control-plane", at as u32 + 1, false);
                 process.until("M100");
                 core[at] = Some(process);
             }
--- a/crates/helm/tests/whole.rs
+++ b/crates/system/tests/whole.rs
@@ -16,7 +16,7 @@
     assert_eq!(place.configure(&[1, 2, 3], 0, 3), 200);
     let (first, runs) = marshal(place.at(100, 0), "i-1");
     assert_eq!(place.beat(&[2], "i-1", first), 200);
-    let edge = place.start("carrier", 20, true);
+    let edge = place.start("edge-proxy", 20, true);
     edge.until("M130");
     let to = place.at(20, 8548);
     served(to);
@@ -79,7 +79,7 @@
     let (second, more) = marshal(place.at(101, 0), "i-2");
     assert_eq!(place.beat(&[1], "i-1", first), 200);
     assert_eq!(place.beat(&[1], "i-2", second), 200);
-    let edge = place.start("carrier", 20, true);
+    let edge = place.start("edge-proxy", 20, true);
     edge.until("M130");
     let to = place.at(20, 8548);
     served(to);
@@ -145,23 +145,23 @@
     assert_eq!(place.configure(&rest, 3, 7), 200);
     // It comes back without its disk, and counts only once it has all of it.
     std::fs::remove_dir_all(place.folder.join(format!("disk{leader}"))).unwrap();
-    let back = place.start("steward", leader, false);
+    let back = place.start("control-plane", leader, false);
     back.until("M110");
     back.until("M122");
     assert_eq!(read(&[leader]), (200, body(7)));
     let file = place.folder.join(format!("disk{leader}/core.redb")).display().to_string();
     drop(back);
-    let said = place.helm(&["disk", "check", &file]);
+    let said = place.command(&["disk", "check", &file]);
     assert!(said.0 && said.1.contains("revision 7"), "{}", said.1);
-    assert!(place.helm(&["disk", "dump", &file]).1.contains("\"revision\": 7"));
-    assert!(!place.helm(&["disk", "check", "/nowhere"]).0);
-    let back = place.start("steward", leader, false);
+    assert!(place.command(&["disk", "dump", &file]).1.contains("\"revision\": 7"));
+    assert!(!place.command(&["disk", "check", "/nowhere"]).0);
+    let back = place.start("control-plane", leader, false);
     back.until("M121");
     // A file that is none is told by name, and stays beside the new one.
     drop(core.remove(&rest[0]));
     let file = place.folder.join(format!("disk{}/core.redb", rest[0]));
     std::fs::write(&file, b"no database").unwrap();
-    let torn = place.start("steward", rest[0], false);
+    let torn = place.start("control-plane", rest[0], false);
     assert!(torn.until("M110").contains("core.redb"));
     torn.until("M122");
     assert!(file.with_extension("redb.damaged").exists());
@@ -175,16 +175,16 @@
     let file = place.folder.join("configuration.json");
     std::fs::write(&file, body(3)).unwrap();
     let (file, core) = (file.display().to_string(), place.at(2, 8544).to_string());
-    assert!(place.helm(&["configuration", "check", &file]).1.contains("2 routes, 1 services"));
+    assert!(place.command(&["configuration", "check", &file]).1.contains("2 routes, 1 services"));
     let mut put = (false, String::new());
     for _ in 0..50 {
-        put = place.helm(&["configuration", "put", "--core", &core, "--on", "0", &file]);
+        put = place.command(&["configuration", "put", "--core", &core, "--on", "0", &file]);
         if put.0 {
             break;
         }
     }
     assert!(put.0, "{}", put.1);
-    let again = place.helm(&[
+    let again = place.command(&[
         "configuration",
         "put",
         "--core",
@@ -194,41 +194,41 @@
         &file.replace("configuration.json", "none"),
     ]);
     assert!(!again.0 && again.1.contains("none"), "{}", again.1);
-    assert_eq!(place.helm(&["configuration", "get", "--core", &core]).1.trim(), body(3));
+    assert_eq!(place.command(&["configuration", "get", "--core", &core]).1.trim(), body(3));
     assert!(
-        place.helm(&["evacuate", "--core", &core, "a"]).0
-            && place.helm(&["evacuate", "--core", &core, "a", "--back"]).0
+        place.command(&["evacuate", "--core", &core, "a"]).0
+            && place.command(&["evacuate", "--core", &core, "a", "--back"]).0
     );
-    assert!(place.helm(&["evacuate", "--core", &core, "nowhere"]).1.contains("there is no zone nowhere"));
-    assert!(place.helm(&["members", "--core", &core]).1.contains("\"folded\""));
-    assert!(place.helm(&["rollout", "--core", &core, "s", "--to", "v2"]).0);
-    assert!(place.helm(&["trial", "--core", &core]).1.contains("\"to\":\"v2\""), "sent on to the leader");
+    assert!(place.command(&["evacuate", "--core", &core, "nowhere"]).1.contains("there is no zone nowhere"));
+    assert!(place.command(&["members", "--core", &core]).1.contains("\"folded\""));
+    assert!(place.command(&["rollout", "--core", &core, "s", "--to", "v2"]).0);
+    assert!(place.command(&["trial", "--core", &core]).1.contains("\"to\":\"v2\""), "sent on to the leader");
     // Settings that are missing or half written end a role at once, with the file's name.
-    for role in ["carrier", "steward"] {
+    for role in ["edge-proxy", "control-plane"] {
         let half = place.folder.join("half.toml").display().to_string();
         std::fs::write(&half, "[self]\nnodeName = \"x\"\nipAddr").unwrap();
         for path in ["/nowhere/settings.toml", half.as_str()] {
-            let said = place.helm(&[role, "--settings", path]);
+            let said = place.command(&[role, "--settings", path]);
             assert!(!said.0 && said.1.contains(path), "{}", said.1);
         }
     }
-    assert!(place.helm(&["suspects", "list", "--core", &core]).0);
+    assert!(place.command(&["suspects", "list", "--core", &core]).0);
     assert!(place
-        .helm(&["suspects", "show", "--core", &core, "i-none"])
+        .command(&["suspects", "show", "--core", &core, "i-none"])
         .1
         .contains("nobody suspects i-none"));
-    assert!(place.helm(&["drift", "list", "--core", &core]).1.contains("digests:"));
+    assert!(place.command(&["drift", "list", "--core", &core]).1.contains("digests:"));
     assert!(place
-        .helm(&["drift", "show", "--core", &core, "10.9.9.9"])
+        .command(&["drift", "show", "--core", &core, "10.9.9.9"])
         .1
         .contains("there is no edge 10.9.9.9"));
-    assert!(place.helm(&["drift", "explain", "--core", &core, "nobody"]).1.contains("was not sampled"));
+    assert!(place.command(&["drift", "explain", "--core", &core, "nobody"]).1.contains("was not sampled"));
     let deploy = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/system.toml");
-    assert!(place.helm(&["check-system", deploy]).0);
+    assert!(place.command(&["check-system", deploy]).0);
 
     let (first, _) = marshal(place.at(100, 0), "i-1");
     assert_eq!(place.beat(&[1], "i-1", first), 200);
-    let mut edge = place.start("carrier", 20, true);
+    let mut edge = place.start("edge-proxy", 20, true);
     edge.until("M130");
     let ready = || {
         raw(place.at(20, 8542), b"GET /milletwing/readiness HTTP/1.1\r\nHost: e\r\n\r\n")
@@ -269,7 +269,7 @@
     assert_eq!(place.beat(&[1], "i-1", first), 200);
     assert_eq!(place.beat(&[1], "i-2", second), 200);
     let drops = place.between(9, 1);
-    let edge = place.start_by("carrier", 20, true, &[9]);
+    let edge = place.start_by("edge-proxy", 20, true, &[9]);
     edge.until("M150");
     served(place.at(20, 8548));
     drops.store(1, Ordering::SeqCst);
@@ -295,7 +295,7 @@
     let well =
         |said: &str| said.contains("\"state\":\"well\"") && said.contains("\"step\":\"renew\",\"why\"");
     let mended = (0..20_000).any(|_| {
-        let said = place.helm(&[
+        let said = place.command(&[
             "drift",
             "show",
             "--json",
--- a/crates/tidings/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,12 +1,12 @@
 //! What the system's processes say to each other over TCP, on the first of the internal ports of a core machine. A
 //! connection begins with a [`Greeting`]; a core machine then sends [`Peer`]s one way, an edge [`Up`]s and gets [`Down`]s.
 
-use milletwing_accord::{Id, Message};
-use milletwing_ledger::{Beat, Command, Heard, Still};
-use milletwing_mirror::{Digest, Finding, Names, Reflection, Sample, Step};
-use milletwing_suspicion::Felt;
-use milletwing_tenet::{tell, Settings};
-use milletwing_verity::Report;
+use milletwing_config::{tell, Settings};
+use milletwing_consensus::{Id, Message};
+use milletwing_drift_detection::{Digest, Finding, Names, Reflection, Sample, Step};
+use milletwing_outlier_detection::Felt;
+use milletwing_replicated_state::{Beat, Command, Heard, Still};
+use milletwing_sequential_test::Report;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::io::{Error, ErrorKind};
@@ -48,7 +48,7 @@
     /// What a machine found of an edge that it tells, in this life and zone of it.
     Drift { edge: u32, life: u64, zone: String, finding: Finding },
     /// The digest of what the entries up to this one make.
-    Mirror(u64, Digest),
+    ViewDigest(u64, Digest),
     /// What the edges of this machine met at hosts since it told last, by edge, each with the milliseconds since.
     Felt(Vec<(u32, u64, Vec<Felt>)>),
 }
--- a/crates/tidings/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -1,13 +1,13 @@
 //! Bytes from outside, drawn from sound ones by changes at random: whatever comes, a reader says no or takes it, in bounded memory,
-//! and never ends the process. `FUZZ_SECONDS=600 cargo test --release -p milletwing-tidings --test fuzz` goes on for so long on each
+//! and never ends the process. `FUZZ_SECONDS=600 cargo test --release -p milletwing-wire --test fuzz` goes on for so long on each
 //! reader; a failure prints its input.
 
-use milletwing_accord::{inspect, Entry, Member, Message, Options, Payload, Role, Stored};
-use milletwing_ledger::{Beat, Command, Heard, Node, Phase, View};
-use milletwing_mirror::{Names, Step};
-use milletwing_suspicion::Felt;
-use milletwing_tenet::{Configuration, Settings};
-use milletwing_tidings::{frame, read, Answer, Ask, CallId, Down, Greeting, Peer, Said, Up};
+use milletwing_config::{Configuration, Settings};
+use milletwing_consensus::{inspect, Entry, Member, Message, Options, Payload, Role, Stored};
+use milletwing_drift_detection::{Names, Step};
+use milletwing_outlier_detection::Felt;
+use milletwing_replicated_state::{Beat, Command, Heard, Node, Phase, View};
+use milletwing_wire::{frame, read, Answer, Ask, CallId, Down, Greeting, Peer, Said, Up};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -229,7 +229,7 @@
 #[test]
 fn what_a_disk_gives_back() {
     let data = view().packed();
-    let snapshot = milletwing_accord::log::Snapshot { last: (1, 1), members: vec![1, 2, 3], data };
+    let snapshot = milletwing_consensus::log::Snapshot { last: (1, 1), members: vec![1, 2, 3], data };
     let entry = Entry { term: 1, index: 2, payload: Payload::Data(commands()[1].bytes()) };
     let parts = [
         postcard::to_stdvec(&snapshot).unwrap(),
