A machine of the core asks the others at each start before it votes

Cause: an earlier state of a disk, put back while nobody led or under a leader elected since, was taken for a machine that was away; its vote could elect one that lacks what was acknowledged, or be a second one in a term. A start number for each member was weighed: it misses a copy made in the same run, and needs entries of its own. Change: at each start a machine asks the others what they hold; it votes in no term that they have heard of and only for logs that hold what they told, and stands once its log does (Start, confirm_start). It goes on once all members have answered, or all but the losses borne two and a half election times after its start. M126 and M127 tell it. A state beyond 14 MB is refused before it is agreed, with 413.

--- a/crates/config/src/event.rs
+++ b/crates/config/src/event.rs
@@ -37,6 +37,8 @@
     "M123" Members Info "who votes in the core has changed",
     "M124" LossesBorne Warn "how many further losses of core machines are borne right now has changed",
     "M125" LeavesEarly Warn "this machine stops though others may not hold everything yet",
+    "M126" StartConfirmed Info "a machine of the core has asked the others since its start and goes on from its disk",
+    "M127" DiskBehind Warn "the others hold more than this machine's disk: it counts again once it has caught up",
     "M130" Configured Info "a configuration is in force",
     "M131" Refused Info "a configuration or order was refused, with the reason",
     "M132" Evacuated Info "a zone is emptied, or taken back",
--- a/crates/config/src/kind.rs
+++ b/crates/config/src/kind.rs
@@ -20,6 +20,9 @@
     /// The body is over `maxBodyBytes`, or over what a call may carry.
     #[display("the body is too large")]
     BodyTooLarge,
+    /// The core's state would grow beyond what every machine can read: bytes that it would have, and that it may have.
+    #[display("the state would have {_0} bytes, {_1} at most")]
+    StateTooLarge(#[error(not(source))] usize, usize),
     /// This process has no configuration yet.
     #[display("no configuration yet")]
     NotReady,
@@ -129,7 +132,7 @@
             Kind::Slow => (408, true, false),
             Kind::Stale(_) => (412, true, false),
             Kind::HeadTooLarge => (431, true, false),
-            Kind::BodyTooLarge => (413, true, false),
+            Kind::BodyTooLarge | Kind::StateTooLarge(..) => (413, true, false),
             Kind::Leaving
             | Kind::OutOfTouch
             | Kind::NotReady
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod member;
 
 pub use log::{Batch, Entry, Payload, Stored};
-pub use member::{inspect, Inspection, Member, Message, Options, Retirement, Role, Work};
+pub use member::{inspect, Inspection, Member, Memory, Message, Options, Retirement, Role, Work};
 
 /// A machine of the core: its IPv4 address as a number. Never 0.
 pub type Id = u32;
--- a/crates/consensus/src/member.rs
+++ b/crates/consensus/src/member.rs
@@ -6,6 +6,8 @@
 //!   own term by count (`count`), and only copies that are on disk count (`saved`, `written`);
 //! - a machine that lost its disk counts for nothing until it has asked all but `losses` of the members what they hold and
 //!   has all of it (`recalled`): one of them has whatever the lost disk helped to acknowledge;
+//! - a machine that starts with a disk asks as well, since an earlier state of it may have been put back: it votes in no
+//!   term that the others have heard of, and only for logs that hold what they told (`confirm_start`);
 //! - a read is answered only after a majority has confirmed, later than the read came, that this machine still leads.
 
 mod disk;
@@ -81,8 +83,20 @@
     Forget { term: u64 },
     /// A machine without memory asks what there is. `call` is drawn at its start.
     Recall { call: u64 },
-    /// The answer; `whole` is false where the one who answers has lost its disk as well.
-    Recalled { call: u64, term: u64, last: Mark, members: Vec<Id>, whole: bool },
+    /// The answer, and how far the one who answers can be relied on.
+    Recalled { call: u64, term: u64, last: Mark, members: Vec<Id>, memory: Memory },
+}
+
+/// How far what a machine holds can be relied on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Memory {
+    /// Everything that it promised.
+    Whole,
+    /// What its disk gave back at its start, or promises that can't be kept right now: the disk may be an earlier state of
+    /// itself, or takes no writes.
+    Unconfirmed,
+    /// Its disk was lost.
+    Lost,
 }
 
 /// How a machine stands.
@@ -121,6 +135,27 @@
     begun: bool,
 }
 
+/// What another machine has told that it holds.
+#[derive(Clone, Debug)]
+struct Held {
+    term: u64,
+    last: Mark,
+    members: Vec<Id>,
+    memory: Memory,
+}
+
+/// Whether a machine has confirmed, since its start, that its disk is no earlier state of itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Start {
+    /// It asks the others, since this moment.
+    Asking(Time),
+    /// They hold more than this machine's disk. Until its log ends here or later it does not stand for election, votes only
+    /// for logs that do, and tells nobody that it holds everything.
+    Behind(Mark),
+    /// Its disk holds everything that they told.
+    Confirmed,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Progress {
     next: u64,
@@ -205,8 +240,10 @@
     reads: Vec<(u64, u64)>,
     /// The call and the answers of a machine that lost its disk.
     call: u64,
-    answers: BTreeMap<Id, (u64, Mark, Vec<Id>)>,
+    answers: BTreeMap<Id, Held>,
     asked: Time,
+    /// What is known of the disk that this process began with.
+    start: Start,
     /// Machines to ask before any members are known.
     seeds: Vec<Id>,
     chance: Pcg64Mcg,
@@ -266,6 +303,7 @@
             call,
             answers: BTreeMap::new(),
             asked: 0,
+            start: Start::Asking(now),
             seeds: seeds.iter().copied().filter(|seed| *seed != set.id).collect(),
             chance,
             whole: false,
@@ -297,11 +335,17 @@
                     member.log.restore(snapshot.clone());
                     (member.commit, member.applied, member.written) = (1, 1, 1);
                     member.placed = Some((snapshot, 2));
+                    // Nothing was promised before.
+                    member.start = Start::Confirmed;
                 }
                 // Guards against forgetting: an empty disk may be a lost one.
                 _ => member.hard.lost = true,
             }
         }
+        // A disk without a log has nothing to go on from, and knows nobody to ask but the seeds.
+        if !member.hard.lost && member.members.is_empty() {
+            (member.hard.lost, member.hard.target, member.dirty) = (true, None, true);
+        }
         member.whole = !member.hard.lost;
         // A start waits less: if there is a leader, the others refuse at the question beforehand, and after a loss of all
         // machines nobody else will stand.
@@ -340,6 +384,19 @@
         !self.whole
     }
 
+    /// Whether it has asked the others since its start, and holds what they told.
+    pub fn confirmed(&self) -> bool {
+        self.start == Start::Confirmed
+    }
+
+    /// What its log must hold before it counts, where the others told that they hold more than its disk at the start.
+    pub fn behind(&self) -> Option<Mark> {
+        match self.start {
+            Start::Behind(most) => Some(most),
+            Start::Asking(_) | Start::Confirmed => None,
+        }
+    }
+
     /// When each peer was heard last, as far as this machine leads.
     pub fn peers(&self) -> impl Iterator<Item = (Id, Time, u64, bool)> + '_ {
         self.peers.iter().map(|(id, peer)| (*id, peer.heard, peer.matched, peer.counts))
@@ -355,7 +412,7 @@
     }
 
     fn votes_here(&self) -> bool {
-        self.counts() && self.members.contains(&self.set.id)
+        self.complete() && self.members.contains(&self.set.id)
     }
 
     fn majority(&self, count: usize) -> bool {
@@ -376,27 +433,18 @@
     pub fn tick(&mut self, now: Time) {
         self.ticked = now;
         if self.hard.lost && self.hard.target.is_none() {
-            if self.asked == 0 || now >= self.asked + 200 {
-                self.asked = now.max(1);
-                let call = self.call;
-                let known = self.answers.keys().copied().collect::<BTreeSet<_>>();
-                let mut whom: BTreeSet<Id> = self.seeds.iter().chain(self.members.iter()).copied().collect();
-                whom.remove(&self.set.id);
-                for id in whom.difference(&known) {
-                    self.send(*id, Message::Recall { call });
-                }
-            }
+            self.ask_others(now);
             return;
         }
         if self.hard.lost && now >= self.deadline + 4 * self.set.election {
             // No leader sends what it waits for: it may have been replaced meanwhile, and has to ask anew.
             self.hard.target = None;
             self.dirty = true;
-            self.answers.clear();
-            self.call = self.chance.random();
+            self.begin_asking();
             self.rest(now);
             return;
         }
+        self.check_start(now);
         if self.role == Role::Leader {
             // Guards against two leaders that both think they lead: one without a majority stands down.
             if now >= self.deadline {
@@ -430,12 +478,19 @@
         match message {
             Message::Recall { call } => {
                 let (term, last) = (self.hard.term, self.log.last());
-                let (members, whole) = (self.members.clone(), self.counts());
-                self.send(from, Message::Recalled { call, term, last, members, whole });
+                let (members, memory) = (self.members.clone(), self.memory());
+                self.send(from, Message::Recalled { call, term, last, members, memory });
+                self.ask_back(from);
             }
-            Message::Recalled { call, term, last, members, whole } => {
-                if call == self.call && self.hard.lost && self.hard.target.is_none() {
-                    self.recalled(now, from, term, last, members, whole);
+            Message::Recalled { call, term, last, members, memory } => {
+                let held = Held { term, last, members, memory };
+                if call != self.call {
+                    // an answer to an earlier question
+                } else if self.hard.lost && self.hard.target.is_none() {
+                    self.recalled(now, from, held);
+                } else if !self.hard.lost && matches!(self.start, Start::Asking(_)) {
+                    self.answers.insert(from, held);
+                    self.confirm_start(now);
                 }
             }
             // Guards against a machine without memory that follows a leader deposed long ago.
@@ -495,9 +550,15 @@
         }
     }
 
-    /// Whether this machine may be counted: it owes nothing, and what it promises reaches its disk.
+    /// Whether copies of entries on this machine count: what it says of its disk is true, and what it promises reaches it. One that
+    /// is behind counts as well, for what it holds: a leader needs it, and its log grows only by what a leader sends.
     fn counts(&self) -> bool {
-        !self.hard.lost && !self.suspended
+        !self.hard.lost && !self.suspended && !matches!(self.start, Start::Asking(_))
+    }
+
+    /// Whether it holds everything that it ever helped to acknowledge.
+    fn complete(&self) -> bool {
+        self.counts() && self.start == Start::Confirmed
     }
 
     /// What is to be done next; nothing while there is none. Whoever takes it writes it before anything else.
--- a/crates/consensus/src/member/disk.rs
+++ b/crates/consensus/src/member/disk.rs
@@ -2,7 +2,7 @@
 //! acknowledgement that counts, no leadership. The machine goes on to follow its leader in memory, so that what needs no
 //! disk is served from a state that is not old.
 
-use super::{Member, Message, Role};
+use super::{Member, Memory, Message, Role};
 use crate::{Id, Time};
 
 /// Entries that wait for a disk at most; a leader's further ones are not taken, and come again.
@@ -22,7 +22,7 @@
                 Some(Message::Installed { term, last, have, round, counts: false })
             }
             refused @ Message::Lend { granted: false, .. } => Some(refused),
-            unsure @ Message::Recalled { whole: false, .. } => Some(unsure),
+            unsure @ Message::Recalled { memory: Memory::Unconfirmed | Memory::Lost, .. } => Some(unsure),
             asked @ (Message::Recall { .. } | Message::Hand { .. }) => Some(asked),
             Message::Ask { .. }
             | Message::Forget { .. }
--- a/crates/consensus/src/member/election.rs
+++ b/crates/consensus/src/member/election.rs
@@ -89,8 +89,7 @@
             // Of two that ask each other at the same time with the same log, one yields: else both stand and neither is elected.
             let yields = self.role != Role::Asking || last > self.log.last() || from > self.set.id;
             // Also by one that doesn't know yet that it is a member: the candidate's log may say so, and that counts.
-            let granted =
-                yields && !led && !leads && self.counts() && term > self.hard.term && last >= self.log.last();
+            let granted = yields && !led && !leads && term > self.hard.term && self.may_vote_for(last);
             // One that is behind in terms must learn of it, or the logs of two that can't be elected wait for each other.
             let term = if granted { term } else { self.hard.term };
             self.send(from, Message::Lend { term, early, granted });
@@ -100,7 +99,7 @@
             self.follow(now, term, None);
         }
         let free = self.hard.vote.is_none_or(|vote| vote == from);
-        let granted = term == self.hard.term && free && self.counts() && last >= self.log.last();
+        let granted = term == self.hard.term && free && self.may_vote_for(last);
         if granted {
             self.hard.vote = Some(from);
             self.dirty = true;
--- a/crates/consensus/src/member/recovery.rs
+++ b/crates/consensus/src/member/recovery.rs
@@ -1,38 +1,144 @@
-//! The return of a machine that lost its disk: it asks what the others hold before it counts again.
+//! What a machine asks the others before it counts: at each start, since an earlier state of its disk may have been put back, and
+//! after the loss of its disk.
+//!
+//! What is relied on at a start: the machines whose disk was lost or put back, and those that don't answer within
+//! [`ABSENT`] of the start, are no more than `losses` together. Then one that answers holds whatever the disk that was put
+//! back had helped to acknowledge, and one has heard of each term in which it voted. A machine whose disk is sound serves with
+//! any majority: at once where all members answer, else once the silent ones are taken for absent.
 
-use super::Member;
+use super::{Held, Member, Memory, Message, Start};
 use crate::{Id, Mark, Time};
 use rand::Rng;
 
+/// Half election times after which a member that doesn't answer a machine that starts is taken for absent. Machines that start
+/// together, also after a loss of all power, are up within this.
+const ABSENT: Time = 5;
+/// Milliseconds between two questions to a machine that has not answered.
+const ASK_AGAIN: Time = 200;
+/// Election times without progress after which a machine that waits for entries asks anew: whoever had them may be gone.
+const ASK_ANEW: Time = 4;
+
 impl Member {
+    /// How far this machine's word can be relied on.
+    pub(super) fn memory(&self) -> Memory {
+        match self.complete() {
+            true => Memory::Whole,
+            false if self.hard.lost => Memory::Lost,
+            false => Memory::Unconfirmed,
+        }
+    }
+
+    /// Asks those that have not answered yet what they hold.
+    pub(super) fn ask_others(&mut self, now: Time) {
+        if self.asked != 0 && now < self.asked + ASK_AGAIN {
+            return;
+        }
+        self.asked = now.max(1);
+        // Those that came in while this machine was away are known to whoever answers.
+        let told = self.answers.values().flat_map(|held| &held.members);
+        let known = self.seeds.iter().chain(&self.members).chain(told).copied();
+        // One without a memory may have one by now.
+        let remembers = |id: &Id| self.answers.get(id).is_some_and(|held| held.memory != Memory::Lost);
+        let mut whom: Vec<Id> = known.filter(|id| *id != self.set.id && !remembers(id)).collect();
+        whom.sort_unstable();
+        whom.dedup();
+        let call = self.call;
+        for id in whom {
+            self.send(id, Message::Recall { call });
+        }
+    }
+
+    /// Whoever asks has just come up: where this machine waits for its answer, it is asked at once.
+    pub(super) fn ask_back(&mut self, from: Id) {
+        let waits = !self.hard.lost && matches!(self.start, Start::Asking(_));
+        if waits && !self.answers.contains_key(&from) {
+            let call = self.call;
+            self.send(from, Message::Recall { call });
+        }
+    }
+
+    /// Answers to earlier questions count no more.
+    pub(super) fn begin_asking(&mut self) {
+        self.answers.clear();
+        self.call = self.chance.random();
+        self.asked = 0;
+    }
+
+    /// Time passes for a machine that has not confirmed its start.
+    pub(super) fn check_start(&mut self, now: Time) {
+        match self.start {
+            Start::Asking(_) if !self.hard.lost => {
+                self.ask_others(now);
+                self.confirm_start(now);
+            }
+            Start::Behind(_) if now >= self.deadline + ASK_ANEW * self.set.election => {
+                self.start = Start::Asking(now);
+                self.begin_asking();
+            }
+            _ => {}
+        }
+    }
+
+    /// Goes on from its disk once all other members have answered, or all but `losses` while the rest is taken for absent.
+    pub(super) fn confirm_start(&mut self, now: Time) {
+        let Start::Asking(since) = self.start else { return };
+        // The answer that holds most says who votes.
+        let newest =
+            self.answers.values().max_by_key(|held| held.last).filter(|it| it.last > self.log.last());
+        let members = newest.map_or(&self.members, |held| &held.members);
+        let others = || members.iter().filter(|id| **id != self.set.id);
+        let all = others().all(|id| self.answers.contains_key(id));
+        let remember = |id: &&Id| self.answers.get(id).is_some_and(|held| held.memory != Memory::Lost);
+        let enough = others().filter(remember).count() + 1 + self.set.losses >= members.len();
+        let absent = now >= since + ABSENT * self.set.election / 2;
+        if !all && !(enough && absent) {
+            return;
+        }
+        // Only what members hold may be committed: a learner's further entries may be on no other machine.
+        let told: Vec<&Held> = others().filter_map(|id| self.answers.get(id)).collect();
+        let term = told.iter().map(|held| held.term).max().unwrap_or(0);
+        let most = told.iter().map(|held| held.last).max().unwrap_or((0, 0));
+        self.hard.term = self.hard.term.max(term);
+        // Guards against a second vote in a term in which this machine may have voted before its disk was put back.
+        self.hard.vote = Some(0);
+        self.dirty = true;
+        self.answers.clear();
+        if most > self.log.last() {
+            self.start = Start::Behind(most);
+            self.rest(now); // it waits for what it lacks from now on
+        } else {
+            self.start = Start::Confirmed;
+        }
+    }
+
+    /// Whether this machine may vote for a candidate whose log ends here.
+    pub(super) fn may_vote_for(&self, last: Mark) -> bool {
+        // Guards against electing one that lacks what this machine's disk held before an earlier state of it was put back.
+        let holds = self.behind().is_none_or(|most| last >= most);
+        self.counts() && holds && last >= self.log.last()
+    }
+
     /// All but `losses` of the members have said what they hold: one of them holds whatever this machine helped to
     /// acknowledge before its disk was lost. It counts again once its log holds the most of what they told.
-    pub(super) fn recalled(
-        &mut self,
-        now: Time,
-        from: Id,
-        term: u64,
-        last: Mark,
-        members: Vec<Id>,
-        whole: bool,
-    ) {
-        if !whole || members.is_empty() {
+    pub(super) fn recalled(&mut self, now: Time, from: Id, held: Held) {
+        if held.memory != Memory::Whole || held.members.is_empty() {
             self.answers.remove(&from);
             return;
         }
         if self.members.is_empty() || !self.members.contains(&from) {
-            self.members = members.clone(); // whom to ask next; replaced by the log's own word later
+            self.members = held.members.clone(); // whom to ask next; replaced by the log's own word later
         }
-        self.answers.insert(from, (term, last, members));
+        self.answers.insert(from, held);
         // The answer that holds most says who votes: a change of members that was acknowledged is in it as soon as enough
         // have answered.
-        let Some((_, _, members)) = self.answers.values().max_by_key(|it| it.1) else { return };
+        let Some(newest) = self.answers.values().max_by_key(|held| held.last) else { return };
+        let members = &newest.members;
         let need = members.len().saturating_sub(self.set.losses).max(1);
-        let heard: Vec<_> =
-            self.answers.iter().filter(|(id, _)| members.contains(id)).map(|(_, it)| it).collect();
+        let heard: Vec<&Held> =
+            self.answers.iter().filter(|(id, _)| members.contains(id)).map(|(_, held)| held).collect();
         if heard.len() >= need {
-            let term = heard.iter().map(|it| it.0).max().unwrap_or(0);
-            let most = heard.iter().map(|it| it.1).max().unwrap_or((0, 0));
+            let term = heard.iter().map(|held| held.term).max().unwrap_or(0);
+            let most = heard.iter().map(|held| held.last).max().unwrap_or((0, 0));
             // One that was never a member has promised nothing that counts.
             let target = if members.contains(&self.set.id) { most } else { (0, 0) };
             self.begin(now, term, target);
@@ -45,6 +151,8 @@
         self.hard.vote = Some(0);
         self.hard.target = Some(target);
         self.dirty = true;
+        // What it must hold stands on its disk from now on.
+        self.start = Start::Confirmed;
         // Of a disk that is empty, nobody; whoever sends the log says more.
         self.members = self.log.members();
         self.rest(now);
@@ -55,14 +163,15 @@
     pub(super) fn forget(&mut self, now: Time) {
         (self.hard.lost, self.hard.target) = (true, None);
         (self.dirty, self.whole) = (true, false);
-        self.answers.clear();
-        self.call = self.chance.random();
-        self.asked = 0;
+        self.begin_asking();
         self.rest(now);
     }
 
-    /// Ends the return of a lost disk once the log holds what it must.
+    /// Ends the return of a lost disk, or of one that was behind, once the log holds what it must.
     pub(super) fn caught_up(&mut self) {
+        if matches!(self.start, Start::Behind(most) if self.log.last() >= most) {
+            self.start = Start::Confirmed;
+        }
         if self.hard.lost && self.hard.target.is_some_and(|target| self.log.last() >= target) {
             (self.hard.lost, self.hard.target) = (false, None);
             self.dirty = true;
--- a/crates/consensus/tests/lines.rs
+++ b/crates/consensus/tests/lines.rs
@@ -1,6 +1,6 @@
 //! Guarding lines that drawn worlds seldom need, each driven to where it matters.
 
-use milletwing_consensus::{Batch, Entry, Member, Message, Options, Payload, Role, Stored, Work};
+use milletwing_consensus::{Batch, Entry, Member, Memory, Message, Options, Payload, Role, Stored, Work};
 
 const FOUNDERS: [u32; 3] = [1, 2, 3];
 
@@ -147,8 +147,13 @@
     let asked = settle(&mut member, 25).1;
     let Some((_, Message::Recall { call })) = asked.first() else { panic!("it asks the others") };
     for from in [2, 3] {
-        let told =
-            Message::Recalled { call: *call, term: 4, last: (1, 1), members: FOUNDERS.to_vec(), whole: true };
+        let told = Message::Recalled {
+            call: *call,
+            term: 4,
+            last: (1, 1),
+            members: FOUNDERS.to_vec(),
+            memory: Memory::Whole,
+        };
         member.step(30, from, told);
     }
     let sum = crc32fast::hash(b"abcdef");
@@ -185,19 +190,26 @@
         _ => None,
     });
     let call = call.expect("it asks the others");
-    let told = |last| Message::Recalled { call, term: 4, last, members: FOUNDERS.to_vec(), whole: true };
+    let told =
+        |last| Message::Recalled { call, term: 4, last, members: FOUNDERS.to_vec(), memory: Memory::Whole };
     member.step(30, 2, told((1, 1)));
     assert!(member.lost(), "one answer of two is not enough");
     // An answer to another life, or of one that has lost its disk itself, is none.
     member.step(
         30,
         3,
-        Message::Recalled { call: call + 1, term: 9, last: (1, 1), members: FOUNDERS.to_vec(), whole: true },
+        Message::Recalled {
+            call: call + 1,
+            term: 9,
+            last: (1, 1),
+            members: FOUNDERS.to_vec(),
+            memory: Memory::Whole,
+        },
     );
     member.step(
         30,
         3,
-        Message::Recalled { call, term: 9, last: (1, 1), members: FOUNDERS.to_vec(), whole: false },
+        Message::Recalled { call, term: 9, last: (1, 1), members: FOUNDERS.to_vec(), memory: Memory::Lost },
     );
     assert!(member.lost());
     member.step(30, 3, told((0, 0)));
@@ -355,3 +367,68 @@
     assert!(back.lost() && asks.iter().all(|(_, it)| matches!(it, Message::Recall { .. })), "{asks:?}");
     assert_eq!(asks.iter().map(|(to, _)| *to).collect::<Vec<_>>(), [1, 3]);
 }
+
+/// A machine that starts again with a log up to `(1, 3)`, in term 4, and its question to the others.
+fn started_again(now: u64) -> (Member, u64) {
+    let mut first = founder(1);
+    settle(&mut first, 0);
+    let entry = |index| Entry { term: 1, index, payload: Payload::Data(vec![index as u8]) };
+    let entries = vec![entry(2), entry(3)];
+    first.step(0, 2, Message::Append { term: 4, before: (1, 1), entries, commit: 1, round: 0 });
+    let mut begun = founder(1);
+    let snapshot = settle(&mut begun, 0).0.snapshot.map(|(bytes, _)| bytes);
+    let batch = settle(&mut first, 0).0;
+    let entries = batch.entries.into_iter().map(|(_, bytes)| bytes).collect();
+    let stored = Stored { hard: batch.hard, entries, snapshot };
+    let mut again = Member::new(options(1), &stored, None, &FOUNDERS, now).unwrap();
+    again.tick(now);
+    let asked = settle(&mut again, now).1;
+    let Some((_, Message::Recall { call })) = asked.first() else { panic!("it asks the others: {asked:?}") };
+    (again, *call)
+}
+
+fn told(call: u64, term: u64, last: (u64, u64)) -> Message {
+    Message::Recalled { call, term, last, members: FOUNDERS.to_vec(), memory: Memory::Unconfirmed }
+}
+
+/// Whether a machine votes for a candidate.
+fn votes(member: &mut Member, now: u64, term: u64, last: (u64, u64)) -> bool {
+    member.step(now, 3, Message::Ask { term, early: false, last });
+    let said = settle(member, now).1;
+    said.iter().any(|(_, message)| matches!(message, Message::Lend { granted: true, .. }))
+}
+
+#[test]
+fn after_a_start_no_vote_is_given_in_a_term_that_the_others_have_heard_of() {
+    let now = 5_000;
+    let (mut member, call) = started_again(now);
+    assert!(!votes(&mut member, now, 4, (4, 9)), "before it has asked the others");
+    member.step(now, 2, told(call, 6, (1, 3)));
+    member.step(now, 3, told(call, 5, (1, 2)));
+    assert!(member.confirmed() && member.term() == 6);
+    assert!(
+        !votes(&mut member, now, 6, (4, 9)),
+        "its disk may be an earlier state, from before its vote in this term"
+    );
+    assert!(votes(&mut member, now, 7, (4, 9)));
+}
+
+#[test]
+fn after_a_start_a_vote_goes_only_to_a_log_that_holds_what_the_others_told() {
+    let now = 5_000;
+    let (mut member, call) = started_again(now);
+    member.step(now, 2, told(call, 4, (4, 8)));
+    member.step(now, 3, told(call, 4, (1, 3)));
+    assert!(!member.confirmed(), "it lacks entries that it may have helped to acknowledge");
+    assert!(!votes(&mut member, now, 5, (4, 7)));
+    assert!(votes(&mut member, now, 5, (4, 8)));
+}
+
+#[test]
+fn after_a_start_answers_to_another_question_count_for_nothing() {
+    let now = 5_000;
+    let (mut member, call) = started_again(now);
+    member.step(now, 2, told(call ^ 1, 4, (1, 3)));
+    member.step(now, 3, told(call ^ 1, 4, (1, 3)));
+    assert!(!member.confirmed());
+}
--- a/crates/consensus/tests/simulation/mod.rs
+++ b/crates/consensus/tests/simulation/mod.rs
@@ -88,6 +88,8 @@
     /// Machines whose disk was lost at any time.
     pub ever_lost: BTreeSet<Id>,
     pub gone: Option<Id>,
+    /// Where the longest log ended when all machines left were the members of each other.
+    pub out_by: Option<u64>,
     pub newest: Id,
     /// Bytes of a snapshot in one message.
     pub part: usize,
@@ -115,6 +117,7 @@
             wiped: BTreeSet::new(),
             ever_lost: BTreeSet::new(),
             gone: None,
+            out_by: None,
             newest: count,
             leaving: None,
             part: 64,
@@ -332,9 +335,17 @@
                 member.change(clock, members);
             }
         }
-        // It counts among the losses until every machine that is left holds that it is out.
+        // It counts among the losses until every machine that is left knows that it is out for good: that is committed.
         if self.joined() {
-            self.gone = None;
+            let last = |it: &Machine| it.member.as_ref().map_or(0, |it| it.marks().1 .1);
+            let end = self.machines.values().map(last).max().unwrap_or(0);
+            let out = *self.out_by.get_or_insert(end);
+            let knows = |it: &Machine| it.member.as_ref().is_some_and(|it| it.marks().0 >= out);
+            if self.machines.values().all(knows) {
+                (self.gone, self.out_by) = (None, None);
+            }
+        } else {
+            self.out_by = None;
         }
     }
 
--- a/crates/control-plane/src/core.rs
+++ b/crates/control-plane/src/core.rs
@@ -145,6 +145,9 @@
     gossiped: BTreeMap<u32, Heard>,
     retold: Time,
     lost: bool,
+    /// Its start is confirmed, as it was told; and up to where its log lacked entries when that was told.
+    confirmed: bool,
+    behind: Option<Mark>,
     members: Vec<Id>,
     /// Trials under way, as this machine judges them while it leads.
     trials: BTreeMap<u64, Judged>,
@@ -226,6 +229,8 @@
             gossiped: BTreeMap::new(),
             retold: 0,
             lost,
+            confirmed: false,
+            behind: None,
             members: Vec::new(),
             trials: BTreeMap::new(),
             whole: None,
@@ -343,6 +348,7 @@
             self.lost = false;
             tell!(Whole, "as of entry {}", self.view.index);
         }
+        self.note_start();
         if self.members != self.member.members() {
             self.members = self.member.members().to_vec();
             let names: Vec<String> =
--- a/crates/control-plane/src/core/membership.rs
+++ b/crates/control-plane/src/core/membership.rs
@@ -23,6 +23,26 @@
 }
 
 impl Core {
+    /// Tells, once, that the start of this machine is confirmed, or that its disk holds less than the others.
+    pub(super) fn note_start(&mut self) {
+        let behind = self.member.behind();
+        if let Some((term, index)) = behind.filter(|_| self.behind != behind) {
+            let (_, last) = self.member.marks();
+            tell!(
+                DiskBehind,
+                "its log ends at {} of term {}, others' at {index} of term {term}",
+                last.1,
+                last.0
+            );
+        }
+        self.behind = behind;
+        let confirmed = self.member.confirmed();
+        if confirmed && !self.confirmed && !self.member.lost() {
+            tell!(StartConfirmed, "as of entry {}", self.member.marks().1 .1);
+        }
+        self.confirmed = confirmed;
+    }
+
     /// Ends the membership of a machine that another has replaced.
     pub(super) fn replace(&mut self, now: Time) {
         let silent = self.member.superfluous(now, self.replaced()).filter(|id| !self.joined(*id, now));
--- a/crates/control-plane/src/core/orders.rs
+++ b/crates/control-plane/src/core/orders.rs
@@ -1,8 +1,7 @@
 //! Orders and beats: decided here where this machine leads, else passed on to the leader, for as long as their callers wait.
 
 use super::{Core, Shared, Time};
-use milletwing_config::Configuration;
-use milletwing_config::Kind;
+use milletwing_config::{tell, Configuration, Kind};
 use milletwing_consensus::{Mark, Role};
 use milletwing_replicated_state::registry::Verdict;
 use milletwing_replicated_state::view::digest;
@@ -258,6 +257,14 @@
 
     pub(super) fn verdict(&mut self, verdict: Verdict) -> Option<oneshot::Receiver<Answer>> {
         match verdict {
+            // Twice: the first of a service brings the version that has its traffic as well.
+            Verdict::Enter(Command::NodeUp(node)) => match self.view.admits(2 * node.weight()) {
+                Ok(()) => self.enter(&Command::NodeUp(node)),
+                Err(kind) => {
+                    tell!(Refused, "{}: {kind}", node.id);
+                    Some(at_once(Answer::Refused(kind.answer().status, kind.to_string())))
+                }
+            },
             Verdict::Enter(command) => self.enter(&command),
             Verdict::Known => Some(at_once(Answer::Done(self.view.index))),
         }
@@ -352,6 +359,8 @@
                 }
                 let if_match = if_match.ok_or(Kind::NoMatch)?;
                 if core.view.revision == if_match {
+                    // Guards against a state that no machine could read any more: before it is agreed.
+                    core.view.admits(body.len().saturating_sub(core.view.body.len()))?;
                     Some(core.view.to_configure(revision, body)?)
                 } else if sure {
                     return Err(Kind::Stale(core.view.revision));
--- a/crates/replicated-state/src/view.rs
+++ b/crates/replicated-state/src/view.rs
@@ -11,8 +11,14 @@
 
 /// Bytes of a configuration: one of some twenty thousand routes.
 pub const MOST_BODY: usize = 4 << 20;
-/// Bytes of a state unpacked.
+/// Bytes of a state unpacked that a machine reads.
 const MOST_STATE: usize = 16 << 20;
+/// Bytes of a state beyond which nothing more is taken into it: what is on its way at that moment still fits.
+pub const MOST_ADMITTED: usize = 14 << 20;
+/// Bytes of an item in the state beside its strings, at most: numbers, addresses, lengths.
+const ITEM: usize = 48;
+/// Bytes of one edge's part of a cold marshal, at most.
+const PART: usize = 10;
 /// Configurations remembered, so that one sent again is known as taken.
 const REMEMBERED: usize = 1024;
 /// Orders to empty a zone that are counted.
@@ -27,6 +33,18 @@
     Sha256::digest(body).into()
 }
 
+impl Node {
+    /// About how many bytes it has in a state, and not fewer.
+    pub fn weight(&self) -> usize {
+        let deal = match &self.phase {
+            Phase::Cold(deal) => deal.len() * PART,
+            Phase::Warm | Phase::Draining => 0,
+        };
+        let texts = 2 * self.id.len() + self.target.len() + self.zone.len() + self.revision.len();
+        2 * ITEM + texts + deal
+    }
+}
+
 /// How far a roll-out is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
@@ -159,6 +177,30 @@
         Ok(view)
     }
 
+    /// About how many bytes it has, and not fewer.
+    pub fn weight(&self) -> usize {
+        let texts = |list: &[&str]| ITEM + list.iter().map(|text| text.len()).sum::<usize>();
+        let nodes: usize = self.nodes.values().map(Node::weight).sum();
+        let left: usize = self.left.iter().map(|id| texts(&[id])).sum();
+        let settled: usize = self.settled.iter().map(|(service, version)| texts(&[service, version])).sum();
+        let rollouts: usize = self.rollouts.iter().map(|(service, roll)| texts(&[service, &roll.to])).sum();
+        let evacuated: usize = self.evacuated.keys().map(|zone| texts(&[zone])).sum();
+        let suspected: usize =
+            self.suspected.iter().map(|(id, looks)| texts(&[id]) + looks.len() * PART).sum();
+        let heals: usize = self.heals.iter().map(|heal| texts(&[&heal.why])).sum();
+        let taken = self.taken.len() * ITEM;
+        self.body.len() + taken + nodes + left + settled + rollouts + evacuated + suspected + heals + ITEM
+    }
+
+    /// Whether so many further bytes may be taken into it; the error says how many there would be.
+    pub fn admits(&self, further: usize) -> Result<(), Kind> {
+        let whole = self.weight() + further;
+        if whole <= MOST_ADMITTED {
+            return Ok(());
+        }
+        Err(Kind::StateTooLarge(whole, MOST_ADMITTED))
+    }
+
     /// Its bytes, packed: for disks and links.
     pub fn packed(&self) -> Vec<u8> {
         pack(&self.bytes(), &[]).unwrap_or_default() // writing to memory can't fail
--- a/crates/system/tests/whole.rs
+++ b/crates/system/tests/whole.rs
@@ -168,6 +168,49 @@
     assert_eq!(read(&[rest[0]]), (200, body(7)));
 }
 
+#[test]
+fn an_old_disk_put_back_never_undoes_what_was_acknowledged_since() {
+    let place = Place::new("old");
+    let mut core: BTreeMap<u32, Process> = (1..).zip(place.core()).collect();
+    assert_eq!(place.configure(&[1, 2, 3], 0, 3), 200);
+    // A copy of a stopped machine's file, as an operator would keep one.
+    drop(core.remove(&1));
+    let file = place.folder.join("disk1/core.redb");
+    let copy = place.folder.join("copy.redb");
+    std::fs::copy(&file, &copy).unwrap();
+    let back = place.start("control-plane", 1, false);
+    back.until("M126");
+    // What follows is acknowledged by machines 1 and 2 alone.
+    drop(core.remove(&3));
+    assert_eq!(place.configure(&[1, 2], 3, 7), 200);
+    drop(back);
+    drop(core.remove(&2));
+    std::fs::copy(&copy, &file).unwrap();
+    // The old disk and the machine that knows nothing of it start first.
+    let old = place.start("control-plane", 1, false);
+    let third = place.start("control-plane", 3, false);
+    let second = place.start("control-plane", 2, false);
+    assert!(old.until("M127").contains("its log ends at"));
+    old.until("M126");
+    for host in [3, 1, 2] {
+        assert_eq!(place.order(&[host], "GET", "/milletwing/configuration", "", ""), (200, body(7)));
+    }
+    drop((old, third, second));
+}
+
+#[test]
+fn a_majority_that_starts_without_the_third_serves() {
+    let place = Place::new("majority");
+    let core = place.core();
+    assert_eq!(place.configure(&[1, 2, 3], 0, 3), 200);
+    drop(core);
+    let first = place.start("control-plane", 1, false);
+    let second = place.start("control-plane", 2, false);
+    assert_eq!(place.configure(&[1, 2], 3, 4), 200);
+    assert_eq!(place.order(&[2], "GET", "/milletwing/configuration", "", ""), (200, body(4)));
+    drop((first, second));
+}
+
 #[test]
 fn an_edge_leaves_in_order_and_operators_have_their_calls() {
     let place = Place::new("leave");
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -3,7 +3,7 @@
 //! reader; a failure prints its input.
 
 use milletwing_config::{Configuration, Settings};
-use milletwing_consensus::{inspect, Entry, Member, Message, Options, Payload, Role, Stored};
+use milletwing_consensus::{inspect, Entry, Member, Memory, Message, Options, Payload, Role, Stored};
 use milletwing_drift_detection::{Names, Step};
 use milletwing_outlier_detection::Felt;
 use milletwing_replicated_state::{Beat, Command, Heard, Node, Phase, View};
@@ -137,7 +137,7 @@
         Message::Installed { term: 1, last: (2, 20), have: 10, round: 5, counts: true },
         Message::Hand { term: 1 },
         Message::Recall { call: 5 },
-        Message::Recalled { call: 5, term: 2, last: (2, 9), members: vec![1, 2, 3], whole: true },
+        Message::Recalled { call: 5, term: 2, last: (2, 9), members: vec![1, 2, 3], memory: Memory::Whole },
     ]
 }
 
