Metrics of both roles in the text format of Prometheus; packages of the deploy file

Cause: an operator had logs and JSON calls only, and the deploy file did not name what a clean build needs.

--- a/crates/config/src/event.rs
+++ b/crates/config/src/event.rs
@@ -27,6 +27,7 @@
     "M102" SettingsRead Info "the settings were read again",
     "M103" Term Info "SIGTERM: leaving in order",
     "M104" Ended Info "all is finished, the process ends",
+    "M105" MetricsUnavailable Warn "the port of the metrics can't be had: the process goes on without them",
     "M110" DiskLost Warn "the disk is empty or damaged: this machine counts again once it has caught up",
     "M111" DiskFailed Error "the disk refuses or hangs: nothing more is promised until it is back; it is tried again",
     "M112" DiskBack Info "the disk takes writes again, and for how long it did not",
--- a/crates/control-plane/src/core.rs
+++ b/crates/control-plane/src/core.rs
@@ -13,6 +13,7 @@
 
 use crate::calls::Calls;
 use crate::drift::Drift;
+use crate::metrics::Metrics;
 use membership::Margin;
 use milletwing_config::{tell, Settings};
 use milletwing_consensus::{Id, Mark, Member, Message, Options, Role};
@@ -101,6 +102,8 @@
     pub settings: Settings,
     /// When the process began: the clock that all decisions go by.
     pub began: Instant,
+    /// What it counts for operators.
+    pub metrics: Metrics,
     /// Its part in the agreement.
     pub member: Member,
     /// The state folded from the log.
@@ -199,6 +202,7 @@
             known: seeds.iter().copied().filter(|id| *id != settings.id()).collect(),
             settings,
             began: Instant::now(),
+            metrics: Metrics::default(),
             member,
             view,
             registry: Registry::default(),
@@ -294,6 +298,7 @@
             let core = &mut *shared.borrow_mut();
             if let Some(out) = core.out.take() {
                 let now = core.now();
+                core.metrics.written(Duration::from_millis(now.saturating_sub(out.since)));
                 if core.member.suspended() {
                     tell!(DiskBack, "after {} ms", now.saturating_sub(out.since));
                 }
--- a/crates/control-plane/src/front.rs
+++ b/crates/control-plane/src/front.rs
@@ -185,6 +185,7 @@
         _ => Err(other_method(&parts)),
     };
     let mut reply = result.unwrap_or_else(|kind| refused(&kind));
+    core.borrow().metrics.answered(parts.first().unwrap_or(&""), reply.status().as_u16());
     if reply.status() == 405 {
         reply.headers_mut().insert(ALLOW, HeaderValue::from_static("GET, PUT, POST, DELETE"));
     }
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -1,6 +1,6 @@
 //! The program of the core. `core` owns the agreement, the state folded from its log and what was heard of marshals and
 //! edges; `drift` whether edges route by it, `disk` is the thread that writes, `links` the connections to other core machines, `feeds` those of edges, and
-//! `front` the calls of marshals, operators and clients. All but the disk share one thread.
+//! `front` the calls of marshals, operators and clients, `metrics` what is counted. All but the disk share one thread.
 
 pub mod calls;
 pub mod core;
@@ -9,11 +9,14 @@
 mod feeds;
 mod front;
 mod links;
+mod metrics;
 
 pub use front::ROUTES;
 
 use crate::core::Core;
 use milletwing_config::{tell, Settings};
+use milletwing_metrics::Endpoint;
+use milletwing_wire::serve_metrics;
 use std::future::Future;
 use std::path::Path;
 use std::pin::Pin;
@@ -24,9 +27,14 @@
 /// Tells the program to leave in order.
 pub type Leave = Pin<Box<dyn Future<Output = ()>>>;
 
-/// Runs until `leave` says so. `settings` is read anew from `path` whenever that changes. Errors are for operators: a
-/// binding that is missing or taken, a disk that can't be used.
-pub async fn run(settings: Settings, path: &Path, leave: Leave) -> Result<(), String> {
+/// Runs until `leave` says so. `settings` is read anew from `path` whenever that changes. `endpoint`: where metrics are served, if
+/// anywhere. Errors are for operators: a binding that is missing or taken, a disk that can't be used.
+pub async fn run(
+    settings: Settings,
+    path: &Path,
+    endpoint: Option<Endpoint>,
+    leave: Leave,
+) -> Result<(), String> {
     let grace = Duration::from_secs_f64(settings.timers.guarantees.graceS.max(1.0));
     let bind = |what: &'static str, to| async move {
         TcpListener::bind(to).await.map_err(|problem| format!("{what} {to}: {problem}"))
@@ -58,6 +66,11 @@
     if let Some(directory) = directory {
         tokio::task::spawn_local(front::serve(Rc::clone(&core), directory, Rc::clone(&open)));
     }
+    if let Some(endpoint) = endpoint {
+        let (core, open) = (Rc::clone(&core), Rc::clone(&open));
+        let text = move || metrics::page(&core.borrow(), &open);
+        tokio::task::spawn_local(serve_metrics(settings.id(), endpoint, text));
+    }
     leave.await;
     tell!(Term, "handing over");
     // Calls under way have their answers; new ones go elsewhere after a failure.
--- a/crates/edge-proxy/src/edge.rs
+++ b/crates/edge-proxy/src/edge.rs
@@ -1,5 +1,6 @@
 //! What all parts of an edge share: the decisions, the view of what the core agreed, connections to marshals, the clock.
 
+use crate::metrics::Metrics;
 use crate::pool::{Dial, Pool};
 use milletwing_config::{tell, Settings};
 use milletwing_drift_detection::{Digest, Reflection, Step};
@@ -20,6 +21,7 @@
     pub router: RefCell<Router>,
     pub view: RefCell<View>,
     pub pool: Pool,
+    pub metrics: Metrics,
     /// Clients' connections, and requests under way.
     pub connections: Cell<usize>,
     pub requests: Cell<usize>,
@@ -61,6 +63,7 @@
             router: RefCell::new(router),
             view: RefCell::new(View::default()),
             pool: Pool::new(dial),
+            metrics: Metrics::default(),
             connections: Cell::new(0),
             requests: Cell::new(0),
             leaving: Cell::new(false),
--- a/crates/edge-proxy/src/lib.rs
+++ b/crates/edge-proxy/src/lib.rs
@@ -1,10 +1,11 @@
 //! The program of an edge. `front` takes clients' connections, `watched` is one of them, `relay` a request through `routing`'s decisions to its
-//! answer, `pool` keeps connections to marshals, `probes` asks for their health while the core is out of reach, `body` and `out` what flows through, `feed` follows the core. One thread.
+//! answer, `pool` keeps connections to marshals, `probes` asks for their health while the core is out of reach, `body` and `out` what flows through, `feed` follows the core, `metrics` counts. One thread.
 
 mod body;
 mod edge;
 mod feed;
 mod front;
+mod metrics;
 mod out;
 mod pool;
 mod probes;
@@ -16,6 +17,8 @@
 
 use crate::edge::Edge;
 use milletwing_config::{tell, Settings};
+use milletwing_metrics::Endpoint;
+use milletwing_wire::serve_metrics;
 use std::future::Future;
 use std::path::Path;
 use std::pin::Pin;
@@ -32,9 +35,14 @@
 /// Tells the program to leave in order.
 pub type Leave = Pin<Box<dyn Future<Output = ()>>>;
 
-/// Runs until `leave` says so, and what it has taken is finished. Errors are for operators: a binding that is missing or
-/// taken.
-pub async fn run(settings: Settings, path: &Path, leave: Leave) -> Result<(), String> {
+/// Runs until `leave` says so, and what it has taken is finished. `endpoint`: where metrics are served, if anywhere. Errors are for
+/// operators: a binding that is missing or taken.
+pub async fn run(
+    settings: Settings,
+    path: &Path,
+    endpoint: Option<Endpoint>,
+    leave: Leave,
+) -> Result<(), String> {
     let ingress = settings.binding("ingress")?;
     let listener =
         TcpListener::bind(ingress).await.map_err(|problem| format!("ingress {ingress}: {problem}"))?;
@@ -50,6 +58,11 @@
     tokio::task::spawn_local(feed::follow(Rc::clone(&edge)));
     tokio::task::spawn_local(feed::watch(Rc::clone(&edge), path.to_path_buf()));
     tokio::task::spawn_local(probes::run(Rc::clone(&edge)));
+    if let Some(endpoint) = endpoint {
+        let edge = Rc::clone(&edge);
+        let own = edge.settings.borrow().id();
+        tokio::task::spawn_local(serve_metrics(own, endpoint, move || metrics::page(&edge)));
+    }
     let accepting = tokio::task::spawn_local(front::serve(Rc::clone(&edge), listener));
     if let Some(readiness) = readiness {
         tokio::task::spawn_local(front::readiness(Rc::clone(&edge), readiness));
--- /dev/null
+++ b/crates/edge-proxy/src/metrics.rs
@@ -0,0 +1,143 @@
+//! What an edge counts, and the page made of it (`docs/metrics.md`).
+
+use crate::edge::Edge;
+use milletwing_config::configuration::Class;
+use milletwing_config::Kind;
+use milletwing_metrics::{exponential_buckets, Histogram, Labels, Page};
+use milletwing_replicated_state::Phase;
+use milletwing_routing::Result as TryResult;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The shortest duration that is told apart, in seconds, and how many buckets double it: up to 16 s.
+const SHORTEST_S: f64 = 0.002;
+const BUCKETS: u16 = 14;
+
+/// Counters of an edge since its process began.
+pub struct Metrics {
+    requests: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
+    tries: RefCell<BTreeMap<&'static str, u64>>,
+    durations: Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics {
+            requests: RefCell::default(),
+            tries: RefCell::default(),
+            durations: Histogram::new(exponential_buckets(SHORTEST_S, 2.0, BUCKETS)),
+        }
+    }
+}
+
+impl Metrics {
+    /// A request has a marshal's answer, of this status class, after so long.
+    pub fn answered(&self, class: Class, status: u16, took: Duration) {
+        let outcome = match status {
+            ..=299 => "answered_2xx",
+            300..=399 => "answered_3xx",
+            400..=499 => "answered_4xx",
+            500.. => "answered_5xx",
+        };
+        *self.requests.borrow_mut().entry((class_label(Some(class)), outcome)).or_default() += 1;
+        self.durations.observe(took.as_secs_f64());
+    }
+
+    /// A request ended with this edge's own answer.
+    pub fn refused(&self, class: Option<Class>, kind: &Kind) {
+        *self.requests.borrow_mut().entry((class_label(class), reason_label(kind))).or_default() += 1;
+    }
+
+    /// One sending of a request ended.
+    pub fn try_ended(&self, result: TryResult) {
+        *self.tries.borrow_mut().entry(try_label(result)).or_default() += 1;
+    }
+}
+
+fn class_label(class: Option<Class>) -> &'static str {
+    match class {
+        Some(Class::Idempotent) => "idempotent",
+        Some(Class::NonIdempotent) => "non_idempotent",
+        Some(Class::Downlink) => "downlink",
+        None => "unknown",
+    }
+}
+
+/// A bounded set of words: kinds that no client of an edge meets are one.
+fn reason_label(kind: &Kind) -> &'static str {
+    match kind {
+        Kind::NoRoute => "no_route",
+        Kind::OutOfTouch => "out_of_touch",
+        Kind::BadRequest(_) => "bad_request",
+        Kind::HeadTooLarge => "head_too_large",
+        Kind::BodyTooLarge => "body_too_large",
+        Kind::NotReady => "not_ready",
+        Kind::Leaving => "leaving",
+        Kind::Full => "full",
+        Kind::NoMarshal => "no_marshal",
+        Kind::TurnedAway => "turned_away",
+        Kind::Expired => "expired",
+        Kind::Broken => "broken",
+        Kind::Silent => "silent",
+        _ => "other",
+    }
+}
+
+fn try_label(result: TryResult) -> &'static str {
+    match result {
+        TryResult::Served => "served",
+        TryResult::Failed => "failed",
+        TryResult::TurnedAway => "turned_away",
+        TryResult::Moved => "moved",
+        TryResult::Unreached => "unreached",
+        TryResult::Unsent => "unsent",
+        TryResult::Broken => "broken",
+        TryResult::Silent => "silent",
+        TryResult::Dropped => "dropped",
+    }
+}
+
+/// The page of this moment.
+pub fn page(edge: &Edge) -> String {
+    let mut page = Page::new("milletwing_edge");
+    let metrics = &edge.metrics;
+    let requests = metrics.requests.borrow();
+    let label = |class: &&'static str, outcome: &&'static str| -> Labels {
+        vec![("class", (*class).to_owned()), ("outcome", (*outcome).to_owned())]
+    };
+    page.counters(
+        "requests",
+        "Requests of clients by class of their route and outcome",
+        requests.iter().map(|((class, outcome), count)| (label(class, outcome), *count)),
+    );
+    let tries = metrics.tries.borrow();
+    page.counters(
+        "tries",
+        "Sendings to marshals by how they ended",
+        tries.iter().map(|(result, count)| (vec![("result", (*result).to_owned())], *count)),
+    );
+    page.seconds("answer", "From a request's head to the head of its marshal's answer", &metrics.durations);
+    page.gauge("client_connections", "Open connections of clients", edge.connections.get() as f64);
+    page.gauge("requests_under_way", "Requests that have no whole answer yet", edge.requests.get() as f64);
+    page.gauge("ready", "1 while clients should come", f64::from(u8::from(edge.ready())));
+    let view = edge.view.borrow();
+    page.gauge("configuration_revision", "Version of the configuration in force", view.revision as f64);
+    page.gauge("folded_index", "Last entry of the core's log that is in force", view.index as f64);
+    let since = edge.router.borrow().silence_of_core(edge.now());
+    page.gauge("core_silence_seconds", "Since the core was heard last", since as f64 / 1_000.0);
+    let mut phases = BTreeMap::from([("warm", 0_u64), ("cold", 0), ("draining", 0), ("ejected", 0)]);
+    for node in view.nodes.values() {
+        let phase = match node.phase {
+            _ if view.suspected.contains_key(&node.id) => "ejected",
+            Phase::Warm => "warm",
+            Phase::Cold(_) => "cold",
+            Phase::Draining => "draining",
+        };
+        *phases.entry(phase).or_default() += 1;
+    }
+    let phases = phases.into_iter().map(|(phase, count)| (vec![("phase", phase.to_owned())], count as f64));
+    page.gauges("marshals", "Marshals that are known, by phase", phases);
+    page.resident_memory();
+    page.text()
+}
--- a/crates/edge-proxy/src/relay.rs
+++ b/crates/edge-proxy/src/relay.rs
@@ -12,6 +12,7 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
+use milletwing_config::configuration::Class;
 use milletwing_config::{tell, Kind};
 use milletwing_routing::table::Route;
 use milletwing_routing::{Load, Result as Ended, Sending, Ticket, Time};
@@ -57,12 +58,17 @@
 pub async fn answer(edge: Rc<Edge>, request: Request<Incoming>, notes: &Notes) -> Response<Out> {
     edge.requests.set(edge.requests.get() + 1);
     let counted = Counted(Rc::clone(&edge));
+    let begun = tokio::time::Instant::now();
     let result = relay(&edge, request, notes).await;
     drop(counted);
     let mut response = match result {
-        Ok(response) => response,
+        Ok((response, class)) => {
+            edge.metrics.answered(class, response.status().as_u16(), begun.elapsed());
+            response
+        }
         Err(Refusal { kind, id, route }) => {
             tell!(RequestEnded, "{id}: {kind}");
+            edge.metrics.refused(route.as_ref().map(|route| route.class), &kind);
             refused(&edge, &kind, route.as_deref())
         }
     };
@@ -113,7 +119,12 @@
     }
 }
 
-async fn relay(edge: &Rc<Edge>, request: Request<Incoming>, notes: &Notes) -> Result<Response<Out>, Refusal> {
+/// A marshal's answer with the class of its route, or the kind of this edge's own.
+async fn relay(
+    edge: &Rc<Edge>,
+    request: Request<Incoming>,
+    notes: &Notes,
+) -> Result<(Response<Out>, Class), Refusal> {
     let (mut parts, body) = request.into_parts();
     let id = parts.headers.get(ATTEMPT).and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
     let refuse =
@@ -176,6 +187,7 @@
                 let Done { guard, result, load, answer } = done;
                 let sending = guard.disarm();
                 let now = edge.now();
+                edge.metrics.try_ended(result);
                 let avoided = edge.router.borrow_mut().ended(now, &mut ticket, &sending, result, load);
                 if let Some(span) = avoided {
                     tell!(NodeAvoided, "{} for {span} ms: {result:?}", sending.id);
@@ -184,7 +196,7 @@
                     tell!(TryEnded, "{id} at {}: {result:?} after {} ms", sending.id, now - sending.at);
                 }
                 let answer = match answer {
-                    Some(answer) if result == Ended::Served => return Ok(deliver(edge, answer, &route)),
+                    Some(answer) if result == Ended::Served => return Ok((deliver(edge, answer, &route), route.class)),
                     other => other,
                 };
                 let more = source.again() && edge.router.borrow().again(now, &ticket, result);
@@ -206,7 +218,7 @@
                         Err(kind) if running.is_empty() => {
                             // A marshal's own word goes before ours.
                             return match answer {
-                                Some(answer) => Ok(deliver(edge, answer, &route)),
+                                Some(answer) => Ok((deliver(edge, answer, &route), route.class)),
                                 None => Err(refuse(kind, Some(&route))),
                             };
                         }
@@ -215,7 +227,7 @@
                 }
                 if running.is_empty() {
                     return match answer {
-                        Some(answer) => Ok(deliver(edge, answer, &route)),
+                        Some(answer) => Ok((deliver(edge, answer, &route), route.class)),
                         None => Err(refuse(last_word(&ticket, result), Some(&route))),
                     };
                 }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -407,9 +407,14 @@
         self.heard = now;
     }
 
+    /// Milliseconds since the core was heard last; since the process began, where it never was.
+    pub fn silence_of_core(&self, now: Time) -> Time {
+        now.saturating_sub(self.heard)
+    }
+
     /// Whether the core was not heard for so long that what it agreed meanwhile may already have had its effects.
     pub fn out_of_touch(&self, now: Time) -> bool {
-        now.saturating_sub(self.heard) > OUT_OF_TOUCH
+        self.silence_of_core(now) > OUT_OF_TOUCH
     }
 
     /// Marshals whose health should be asked now, of so many at most: out of touch with the core, this edge learns in no other way
--- a/crates/system/src/deploy.rs
+++ b/crates/system/src/deploy.rs
@@ -1,5 +1,6 @@
 //! Checks a deploy file as the platform reads it.
 
+use milletwing_metrics::Endpoint;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -7,6 +8,9 @@
 struct Deploy {
     build: String,
     roles: BTreeMap<String, Role>,
+    /// System packages that a clean build needs.
+    #[serde(default)]
+    packages: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -17,6 +21,7 @@
     count: Option<u32>,
     #[serde(default)]
     serves: Vec<String>,
+    metrics: Option<String>,
 }
 
 /// Says what the file starts where, or which line is wrong.
@@ -25,6 +30,9 @@
     if deploy.build.trim().is_empty() || deploy.roles.is_empty() {
         return Err("build and at least one role are wanted".into());
     }
+    if let Some(package) = deploy.packages.iter().find(|name| name.trim().is_empty()) {
+        return Err(format!("packages: {package:?} names none"));
+    }
     let mut served = BTreeSet::new();
     let mut said = Vec::new();
     for (name, role) in &deploy.roles {
@@ -37,6 +45,9 @@
             (None, Some(1..)) => {}
             _ => return wrong("either share (more than 0, at most 1) or count (1 or more) is wanted"),
         }
+        if let Some(problem) = role.metrics.as_ref().and_then(|text| text.parse::<Endpoint>().err()) {
+            return wrong(&format!("metrics: {problem}"));
+        }
         for plane in &role.serves {
             if !["edge", "control", "directory"].contains(&plane.as_str()) {
                 return wrong(&format!("serves {plane}, which is none of edge, control, directory"));
--- a/crates/system/src/main.rs
+++ b/crates/system/src/main.rs
@@ -7,6 +7,7 @@
 
 use clap::{Arg, ArgMatches, Command};
 use milletwing_config::Settings;
+use milletwing_metrics::Endpoint;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, SignalKind};
@@ -21,12 +22,21 @@
 
 fn command() -> Command {
     let role = |name: &'static str, about: &'static str| {
-        Command::new(name).about(about).arg(
-            Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .help("the settings file; without it, the one that MILLETWING_BOOT names"),
-        )
+        Command::new(name)
+            .about(about)
+            .arg(
+                Arg::new("settings")
+                    .long("settings")
+                    .value_name("FILE")
+                    .help("the settings file; without it, the one that MILLETWING_BOOT names"),
+            )
+            .arg(
+                Arg::new("metrics")
+                    .long("metrics")
+                    .value_name("PORT/PATH")
+                    .value_parser(|text: &str| text.parse::<Endpoint>())
+                    .help("serves metrics there, on the machine's own address"),
+            )
     };
     let file = || Arg::new("file").value_name("FILE").required(true);
     let called = |name: &'static str, about: &'static str| Command::new(name).about(about).arg(core_arg());
@@ -128,11 +138,13 @@
     match given.subcommand() {
         Some(("edge-proxy", given)) => {
             let (settings, path, leave) = begin(given)?;
-            milletwing_edge_proxy::run(settings, &path, leave).await
+            let metrics = given.get_one::<Endpoint>("metrics").cloned();
+            milletwing_edge_proxy::run(settings, &path, metrics, leave).await
         }
         Some(("control-plane", given)) => {
             let (settings, path, leave) = begin(given)?;
-            milletwing_control_plane::run(settings, &path, leave).await
+            let metrics = given.get_one::<Endpoint>("metrics").cloned();
+            milletwing_control_plane::run(settings, &path, metrics, leave).await
         }
         Some(("check-system", given)) => deploy::check(&text(given)?).map(|said| println!("{said}")),
         Some(("check-settings", given)) => {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 use milletwing_config::{tell, Settings};
 use milletwing_consensus::{Id, Message};
 use milletwing_drift_detection::{Digest, Finding, Names, Reflection, Sample, Step};
+use milletwing_metrics::Endpoint;
 use milletwing_outlier_detection::Felt;
 use milletwing_replicated_state::{Beat, Command, Heard, Still};
 use milletwing_sequential_test::Report;
@@ -14,7 +15,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Bytes of a frame: a state with such a configuration and some thousand marshals.
 pub const MOST_FRAME: usize = 16 << 20;
@@ -175,6 +176,14 @@
     socket.set_tcp_user_timeout(Some(patience))
 }
 
+/// Serves a process's metrics on the machine's own address. Where the port can't be had, the process goes on without them.
+pub async fn serve_metrics(own: Id, endpoint: Endpoint, text: impl Fn() -> String + 'static) {
+    match TcpListener::bind(place(own, endpoint.port)).await {
+        Ok(listener) => milletwing_metrics::serve(listener, endpoint.path, text).await,
+        Err(problem) => tell!(MetricsUnavailable, "{endpoint}: {problem}"),
+    }
+}
+
 /// A message as a frame: its length in four bytes, then the message.
 pub fn frame<T: Serialize>(message: &T) -> Vec<u8> {
     let mut out = postcard::to_extend(message, vec![0; 4]).unwrap_or_default(); // plain values can't fail
