Answers without a length pass where they end; a marshal's leave holds before its coming is known

Change: unframed answers are passed on, a reset is an error of the body; both words of leaving are entries.

--- a/crates/edge-proxy/src/relay.rs
+++ b/crates/edge-proxy/src/relay.rs
@@ -450,12 +450,13 @@
         return Err(Ended::TurnedAway);
     }
     let exact = body.size_hint().exact();
+    // An answer without a length ends with its connection: one that is reset is an error of the body, not its end.
     let framed = exact.is_some() || headers.contains_key(header::TRANSFER_ENCODING);
     let sealed = headers.contains_key(SEAL) || !parts.status.is_success();
-    if headers.contains_key(header::CONTENT_ENCODING) || !sealed || !framed {
+    if headers.contains_key(header::CONTENT_ENCODING) || !sealed {
         return Err(Ended::Broken); // not the marshal's bytes
     }
-    let keep = if closes(headers) { Some(Duration::ZERO) } else { told(headers) };
+    let keep = if closes(headers) || !framed { Some(Duration::ZERO) } else { told(headers) };
     let result = if parts.status.is_server_error() { Ended::Failed } else { Ended::Served };
     let body = gather(body).await.map_err(|_: Cut| Ended::Broken)?;
     let response = Response::from_parts(parts, ());
--- a/crates/edge-proxy/src/tests.rs
+++ b/crates/edge-proxy/src/tests.rs
@@ -1,6 +1,8 @@
 //! Marshals that misbehave at each byte, on streams in memory and a clock of the test's own: whose answer a client gets, and what
 //! is sent a second time.
 
+mod guarantees;
+
 use crate::edge::Edge;
 use crate::front;
 use crate::pool::{Dial, Wire};
@@ -38,16 +40,31 @@
     }
 }
 
+/// How often the request with the id `i` has arrived.
+fn arrivals_of_one(arrivals: &Arrivals) -> u32 {
+    arrivals.of("i")
+}
+
 /// A stand-in of a marshal: one connection of it. `call` counts the connections from 0.
 type Serve = dyn Fn(u32, DuplexStream, Arrivals) -> std::pin::Pin<Box<dyn Future<Output = ()>>>;
 
 fn edge(count: usize, arrivals: &Arrivals, serve: Rc<Serve>) -> Rc<Edge> {
+    edge_over(count, arrivals, serve, |stream| Box::new(stream))
+}
+
+/// The same, with connections to marshals that are `wrap`ped.
+fn edge_over(
+    count: usize,
+    arrivals: &Arrivals,
+    serve: Rc<Serve>,
+    wrap: fn(DuplexStream) -> Box<dyn Wire>,
+) -> Rc<Edge> {
     let (calls, arrivals) = (Rc::new(RefCell::new(0)), arrivals.clone());
     let dial: Dial = Box::new(move |_| {
         let (near, far) = duplex(1 << 20);
         let call = calls.replace_with(|call| *call + 1);
         tokio::task::spawn_local(serve(call, far, arrivals.clone()));
-        Box::pin(async move { Ok(Box::new(near) as Box<dyn Wire>) })
+        Box::pin(async move { Ok(wrap(near)) })
     });
     let edge = Edge::new(Settings::read(SETTINGS).unwrap(), "10.0.0.9:8548".parse().unwrap(), dial);
     let mut view = View::default();
@@ -299,14 +316,13 @@
 }
 
 #[test]
-fn answers_of_others_and_answers_without_a_frame_are_none() {
+fn answers_of_others_and_spoilt_ones_are_none() {
     let stamped = |lines: &str| format!("HTTP/1.1 200 OK\r\n{lines}\r\nhello");
     let seal = "X-Milletwing-Server-Seal: a\r\n";
     let spoilt = [
         stamped(&format!("X-Milletwing-Attempt-Id: other\r\n{seal}Content-Length: 5\r\n")),
         stamped(&format!("{seal}Content-Length: 5\r\n")),
         stamped("X-Milletwing-Attempt-Id: a\r\nContent-Length: 5\r\n"),
-        stamped(&format!("X-Milletwing-Attempt-Id: a\r\n{seal}")),
         stamped(&format!(
             "X-Milletwing-Attempt-Id: a\r\n{seal}Content-Encoding: gzip\r\nContent-Length: 5\r\n"
         )),
--- a/crates/replicated-state/src/registry.rs
+++ b/crates/replicated-state/src/registry.rs
@@ -133,7 +133,9 @@
                 Some(node) if node.phase != Phase::Draining => {
                     Verdict::Enter(Command::NodeDrains { id: id.into() })
                 }
-                _ => Verdict::Known,
+                Some(_) => Verdict::Known,
+                // Guards against a report of its that comes late: whoever drains must not be taken for one that has come.
+                None => Verdict::Enter(Command::NodeGone { id: id.into(), silent: false }),
             };
         }
         let Some(node) = known.filter(|node| node.address == beat.address) else {
@@ -175,11 +177,11 @@
     /// A marshal says that it is gone.
     pub fn leave(&mut self, view: &View, id: &str) -> Verdict {
         self.lives.remove(id);
-        if view.nodes.contains_key(id) {
-            Verdict::Enter(Command::NodeGone { id: id.into(), silent: false })
-        } else {
-            Verdict::Known
+        // Also one that is not known: a report of its may still be on its way, and must not bring it in.
+        if view.has_left(id) {
+            return Verdict::Known;
         }
+        Verdict::Enter(Command::NodeGone { id: id.into(), silent: false })
     }
 
     /// An edge was heard of, so many milliseconds ago.
