--- a/crates/edge-proxy/src/feed.rs
+++ b/crates/edge-proxy/src/feed.rs
@@ -12,10 +12,11 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWriteExt, BufReader, ReadBuf};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, BufReader, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 /// Between an edge's beats, and between them while it has something to tell.
 const BEAT: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(250));
@@ -47,7 +48,8 @@
         let some: Vec<u32> =
             all.iter().copied().filter(|id| !left.iter().any(|(gone, _)| gone == id)).collect();
         if let Some((id, stream)) = nearest(if some.is_empty() { &all } else { &some }, port).await {
-            let why = listen(&edge, stream, &mut cores).await;
+            let (read, write) = stream.into_split();
+            let why = listen(&edge, read, write, &mut cores).await;
             tell!(FeedLost, "{}: {why}", place(id, port));
             left.push((id, Instant::now() + Duration::from_secs(2)));
         }
@@ -71,8 +73,12 @@
 }
 
 /// Folds what one machine sends, until it is to be left. Gives the reason.
-async fn listen(edge: &Rc<Edge>, stream: TcpStream, cores: &mut Vec<u32>) -> String {
-    let (read, mut write) = stream.into_split();
+pub async fn listen(
+    edge: &Rc<Edge>,
+    read: impl AsyncRead + Unpin,
+    mut write: impl AsyncWrite + Unpin + 'static,
+    cores: &mut Vec<u32>,
+) -> String {
     let came = Rc::new(Cell::new(false));
     let mut read = BufReader::with_capacity(4096, Noted { read, came: Rc::clone(&came) });
     let greeting = Greeting::Edge(edge.heard(), edge.view.borrow().index);
@@ -115,6 +121,8 @@
     let mut said = false;
     let why = loop {
         let down = {
+            // Guards against taking bytes of the message before for a sign of life: silence would be noticed only the second time.
+            came.set(false);
             let mut reading = std::pin::pin!(wire::read::<Down>(&mut read));
             loop {
                 match tokio::time::timeout(SILENCE, reading.as_mut()).await {
