--- a/crates/config/src/event.rs
+++ b/crates/config/src/event.rs
@@ -55,7 +55,7 @@
     "M162" NodeAvoided Info "a marshal can't be reached: avoided for a while",
     "M163" Suspected Info "a marshal is taken out as edges find it gone, looked at, or back",
     "M170" Drifted Warn "an edge routes by something else than what was agreed: which, since when, and how it shows",
-    "M171" Heals Warn "a step to bring a drifted edge back, as agreed or as the edge takes it",
+    "M171" Repairs Warn "a step to bring a drifted edge back, as agreed or as the edge takes it",
     "M172" Recovered Info "an edge that had drifted routes by what was agreed again",
     "M173" AllDrift Error "most edges seem to have drifted: the core's own view is in doubt, nothing is done to any",
     "M174" CoreDiffers Error "another machine of the core has folded the same entries to something else",
@@ -63,7 +63,7 @@
 
 /// Writes an event.
 #[macro_export]
-macro_rules! tell {
+macro_rules! event {
     ($event:ident, $($rest:tt)+) => {{
         let event = $crate::Event::$event;
         log::log!(event.level(), "{event} {}", format_args!($($rest)+))
--- a/crates/consensus/src/member.rs
+++ b/crates/consensus/src/member.rs
@@ -1,8 +1,8 @@
 //! One machine of the core. Everything that it promises is in [`Work::batch`] before the messages that depend on it.
 //!
 //! What holds, and by which line:
-//! - one leader a term: a machine lends its vote once a term, and the vote is on disk before it is told (`lend`);
-//! - what is committed stays: a vote goes only to a log that is not behind (`lend`), a leader commits only entries of its
+//! - one leader a term: a machine votes once a term, and the vote is on disk before it is told (`answer_vote_request`);
+//! - what is committed stays: a vote goes only to a log that is not behind (`answer_vote_request`), a leader commits only entries of its
 //!   own term by count (`count`), and only copies that are on disk count (`saved`, `written`);
 //! - a machine that lost its disk counts for nothing until it has asked all but `losses` of the members what they hold and
 //!   has all of it (`recalled`): one of them has whatever the lost disk helped to acknowledge;
@@ -54,10 +54,10 @@
 #[allow(missing_docs)] // each variant's line says what its fields are
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// Would you lend me your vote for this term? `early`: only a question, nothing is promised.
-    Ask { term: u64, early: bool, last: Mark },
+    /// Would you vote for me in this term? `early`: only a question, nothing is promised.
+    RequestVote { term: u64, early: bool, last: Mark },
     /// The answer.
-    Lend { term: u64, early: bool, granted: bool },
+    Vote { term: u64, early: bool, granted: bool },
     /// A leader's entries, or none; `round` is given back.
     Append { term: u64, before: Mark, entries: Vec<Entry>, commit: u64, round: u64 },
     /// What stands on the follower's disk up to `matched`, or where the leader should try next. `counts`: this machine
@@ -78,13 +78,13 @@
     /// So much of that snapshot is here: the next part begins there.
     Installed { term: u64, last: Mark, have: u64, round: u64, counts: bool },
     /// Stand for election at once: the leader leaves.
-    Hand { term: u64 },
+    TransferLeadership { term: u64 },
     /// What you told this leader is on your disk no more: an earlier state of it has been put back. Take it for lost.
-    Forget { term: u64 },
+    DistrustDisk { term: u64 },
     /// A machine without memory asks what there is. `call` is drawn at its start.
-    Recall { call: u64 },
+    QueryState { call: u64 },
     /// The answer, and how far the one who answers can be relied on.
-    Recalled { call: u64, term: u64, last: Mark, members: Vec<Id>, memory: Memory },
+    StateReport { call: u64, term: u64, last: Mark, members: Vec<Id>, memory: Memory },
 }
 
 /// How far what a machine holds can be relied on.
@@ -179,7 +179,7 @@
 pub struct Inspection {
     /// The term.
     pub term: u64,
-    /// Whom it lent its vote in that term.
+    /// Whom it voted in that term.
     pub vote: Option<Id>,
     /// It lost its disk and does not count yet.
     pub lost: bool,
@@ -476,13 +476,13 @@
             return;
         }
         match message {
-            Message::Recall { call } => {
+            Message::QueryState { call } => {
                 let (term, last) = (self.hard.term, self.log.last());
                 let (members, memory) = (self.members.clone(), self.memory());
-                self.send(from, Message::Recalled { call, term, last, members, memory });
+                self.send(from, Message::StateReport { call, term, last, members, memory });
                 self.ask_back(from);
             }
-            Message::Recalled { call, term, last, members, memory } => {
+            Message::StateReport { call, term, last, members, memory } => {
                 let held = Held { term, last, members, memory };
                 if call != self.call {
                     // an answer to an earlier question
@@ -495,8 +495,10 @@
             }
             // Guards against a machine without memory that follows a leader deposed long ago.
             _ if self.hard.lost && self.hard.target.is_none() => {}
-            Message::Ask { term, early, last } => self.lend(now, from, term, early, last),
-            Message::Lend { term, early, granted } => {
+            Message::RequestVote { term, early, last } => {
+                self.answer_vote_request(now, from, term, early, last)
+            }
+            Message::Vote { term, early, granted } => {
                 if !granted && term > self.hard.term {
                     self.follow(now, term, None);
                 }
@@ -537,12 +539,12 @@
                     self.appended(now, from, fits, matched, round, counts);
                 }
             }
-            Message::Forget { term } => {
+            Message::DistrustDisk { term } => {
                 if term == self.hard.term && self.leader == Some(from) && !self.hard.lost {
                     self.forget(now);
                 }
             }
-            Message::Hand { term } => {
+            Message::TransferLeadership { term } => {
                 if term == self.hard.term && self.votes_here() && self.leader == Some(from) {
                     self.stand(now, false);
                 }
--- a/crates/consensus/src/member/disk.rs
+++ b/crates/consensus/src/member/disk.rs
@@ -21,15 +21,15 @@
             Message::Installed { term, last, have, round, .. } => {
                 Some(Message::Installed { term, last, have, round, counts: false })
             }
-            refused @ Message::Lend { granted: false, .. } => Some(refused),
-            unsure @ Message::Recalled { memory: Memory::Unconfirmed | Memory::Lost, .. } => Some(unsure),
-            asked @ (Message::Recall { .. } | Message::Hand { .. }) => Some(asked),
-            Message::Ask { .. }
-            | Message::Forget { .. }
-            | Message::Lend { .. }
+            refused @ Message::Vote { granted: false, .. } => Some(refused),
+            unsure @ Message::StateReport { memory: Memory::Unconfirmed | Memory::Lost, .. } => Some(unsure),
+            asked @ (Message::QueryState { .. } | Message::TransferLeadership { .. }) => Some(asked),
+            Message::RequestVote { .. }
+            | Message::DistrustDisk { .. }
+            | Message::Vote { .. }
             | Message::Append { .. }
             | Message::Install { .. }
-            | Message::Recalled { .. } => None,
+            | Message::StateReport { .. } => None,
         }
     }
 }
@@ -57,7 +57,7 @@
         self.out.clear();
         if led {
             if let Some(successor) = successor {
-                self.send(successor, Message::Hand { term: self.hard.term });
+                self.send(successor, Message::TransferLeadership { term: self.hard.term });
             }
         }
         if self.role != Role::Follower {
--- a/crates/consensus/src/member/election.rs
+++ b/crates/consensus/src/member/election.rs
@@ -38,7 +38,7 @@
         let (term, last) = (self.hard.term + u64::from(early), self.log.last());
         let others: Vec<Id> = self.others().into_iter().filter(|id| !self.votes.contains(id)).collect();
         for id in others {
-            self.send(id, Message::Ask { term, early, last });
+            self.send(id, Message::RequestVote { term, early, last });
         }
     }
 
@@ -81,7 +81,7 @@
         }
     }
 
-    pub(super) fn lend(&mut self, now: Time, from: Id, term: u64, early: bool, last: Mark) {
+    pub(super) fn answer_vote_request(&mut self, now: Time, from: Id, term: u64, early: bool, last: Mark) {
         // A leader that still calls is not replaced; a machine that came back must not upset the others.
         let led = self.leader.is_some() && now.saturating_sub(self.heard) < self.set.election;
         let leads = self.role == Role::Leader && self.backed(now, self.set.election);
@@ -92,7 +92,7 @@
             let granted = yields && !led && !leads && term > self.hard.term && self.may_vote_for(last);
             // One that is behind in terms must learn of it, or the logs of two that can't be elected wait for each other.
             let term = if granted { term } else { self.hard.term };
-            self.send(from, Message::Lend { term, early, granted });
+            self.send(from, Message::Vote { term, early, granted });
             return;
         }
         if term > self.hard.term {
@@ -105,7 +105,7 @@
             self.dirty = true;
             self.rest(now);
         }
-        self.send(from, Message::Lend { term: self.hard.term, early, granted });
+        self.send(from, Message::Vote { term: self.hard.term, early, granted });
     }
 
     /// The peer that holds most, where this machine leads.
@@ -121,7 +121,7 @@
         }
         if let Some(id) = self.successor() {
             self.append(now, id, true);
-            self.send(id, Message::Hand { term: self.hard.term });
+            self.send(id, Message::TransferLeadership { term: self.hard.term });
         }
     }
 }
--- a/crates/consensus/src/member/recovery.rs
+++ b/crates/consensus/src/member/recovery.rs
@@ -44,7 +44,7 @@
         whom.dedup();
         let call = self.call;
         for id in whom {
-            self.send(id, Message::Recall { call });
+            self.send(id, Message::QueryState { call });
         }
     }
 
@@ -53,7 +53,7 @@
         let waits = !self.hard.lost && matches!(self.start, Start::Asking(_));
         if waits && !self.answers.contains_key(&from) {
             let call = self.call;
-            self.send(from, Message::Recall { call });
+            self.send(from, Message::QueryState { call });
         }
     }
 
--- a/crates/consensus/src/member/replication.rs
+++ b/crates/consensus/src/member/replication.rs
@@ -162,7 +162,7 @@
             if counts && round > peer.told && matched < peer.matched {
                 (peer.matched, peer.counts) = (0, false);
                 let term = self.hard.term;
-                self.send(from, Message::Forget { term });
+                self.send(from, Message::DistrustDisk { term });
                 return;
             }
             peer.next = (matched + 1).min(peer.next.saturating_sub(1)).max(1);
--- a/crates/consensus/src/member/validity.rs
+++ b/crates/consensus/src/member/validity.rs
@@ -26,8 +26,10 @@
     /// Whether a machine that works can have meant this.
     pub(super) fn sound(&self) -> bool {
         match self {
-            Message::Ask { term, last, .. } => real(&[*term]) && real_mark(last),
-            Message::Lend { term, .. } | Message::Hand { term } | Message::Forget { term } => real(&[*term]),
+            Message::RequestVote { term, last, .. } => real(&[*term]) && real_mark(last),
+            Message::Vote { term, .. }
+            | Message::TransferLeadership { term }
+            | Message::DistrustDisk { term } => real(&[*term]),
             Message::Append { term, before, entries, commit, round } => {
                 real(&[*term, *commit, *round]) && real_mark(before) && follow(before.1, entries, *term)
             }
@@ -39,8 +41,8 @@
             Message::Installed { term, last, have, round, .. } => {
                 real(&[*term, *have, *round]) && real_mark(last)
             }
-            Message::Recall { .. } => true,
-            Message::Recalled { term, last, .. } => real(&[*term]) && real_mark(last),
+            Message::QueryState { .. } => true,
+            Message::StateReport { term, last, .. } => real(&[*term]) && real_mark(last),
         }
     }
 }
--- a/crates/consensus/tests/lines.rs
+++ b/crates/consensus/tests/lines.rs
@@ -40,8 +40,8 @@
         now += 25;
         member.tick(now);
         for (to, message) in settle(&mut member, now).1 {
-            if let Message::Ask { term, early, .. } = message {
-                member.step(now, to, Message::Lend { term, early, granted: true });
+            if let Message::RequestVote { term, early, .. } = message {
+                member.step(now, to, Message::Vote { term, early, granted: true });
             }
         }
     }
@@ -59,17 +59,17 @@
     // The term is known already, so that nothing but the vote is new.
     member.step(0, 2, Message::Append { term: 5, before: (1, 1), entries: Vec::new(), commit: 0, round: 0 });
     settle(&mut member, 0);
-    member.step(9_000, 3, Message::Ask { term: 5, early: false, last: (9, 9) });
+    member.step(9_000, 3, Message::RequestVote { term: 5, early: false, last: (9, 9) });
     let (batch, messages) = settle(&mut member, 9_000);
-    assert!(matches!(messages[..], [(3, Message::Lend { granted: true, .. })]));
+    assert!(matches!(messages[..], [(3, Message::Vote { granted: true, .. })]));
     let stored = Stored { hard: batch.hard, snapshot: None, entries: Vec::new() };
     assert!(stored.hard.is_some(), "the vote is told, and not on disk");
     // After a restart the same term has no second vote.
     let mut again = Member::new(options(1), &stored, None, &FOUNDERS, 0).unwrap();
-    again.step(9_000, 2, Message::Ask { term: 5, early: false, last: (9, 9) });
+    again.step(9_000, 2, Message::RequestVote { term: 5, early: false, last: (9, 9) });
     let said = settle(&mut again, 9_000).1;
     assert!(
-        said.iter().all(|(_, message)| !matches!(message, Message::Lend { granted: true, .. })),
+        said.iter().all(|(_, message)| !matches!(message, Message::Vote { granted: true, .. })),
         "{said:?}"
     );
 }
@@ -123,8 +123,8 @@
         now += 25;
         first.tick(now);
         for (to, message) in settle(&mut first, now).1 {
-            if let Message::Ask { term, early, .. } = message {
-                first.step(now, to, Message::Lend { term, early, granted: true });
+            if let Message::RequestVote { term, early, .. } = message {
+                first.step(now, to, Message::Vote { term, early, granted: true });
             }
         }
     }
@@ -145,9 +145,9 @@
     let mut member = Member::new(options(4), &Stored::default(), None, &FOUNDERS, 0).unwrap();
     member.tick(25);
     let asked = settle(&mut member, 25).1;
-    let Some((_, Message::Recall { call })) = asked.first() else { panic!("it asks the others") };
+    let Some((_, Message::QueryState { call })) = asked.first() else { panic!("it asks the others") };
     for from in [2, 3] {
-        let told = Message::Recalled {
+        let told = Message::StateReport {
             call: *call,
             term: 4,
             last: (1, 1),
@@ -186,19 +186,24 @@
     member.tick(25);
     let asked = settle(&mut member, 25).1;
     let call = asked.iter().find_map(|(_, message)| match message {
-        Message::Recall { call } => Some(*call),
+        Message::QueryState { call } => Some(*call),
         _ => None,
     });
     let call = call.expect("it asks the others");
-    let told =
-        |last| Message::Recalled { call, term: 4, last, members: FOUNDERS.to_vec(), memory: Memory::Whole };
+    let told = |last| Message::StateReport {
+        call,
+        term: 4,
+        last,
+        members: FOUNDERS.to_vec(),
+        memory: Memory::Whole,
+    };
     member.step(30, 2, told((1, 1)));
     assert!(member.lost(), "one answer of two is not enough");
     // An answer to another life, or of one that has lost its disk itself, is none.
     member.step(
         30,
         3,
-        Message::Recalled {
+        Message::StateReport {
             call: call + 1,
             term: 9,
             last: (1, 1),
@@ -209,23 +214,29 @@
     member.step(
         30,
         3,
-        Message::Recalled { call, term: 9, last: (1, 1), members: FOUNDERS.to_vec(), memory: Memory::Lost },
+        Message::StateReport {
+            call,
+            term: 9,
+            last: (1, 1),
+            members: FOUNDERS.to_vec(),
+            memory: Memory::Lost,
+        },
     );
     assert!(member.lost());
     member.step(30, 3, told((0, 0)));
     member.step(40, 2, part(0, b"", 0, 0));
     settle(&mut member, 40);
     assert!(!member.lost(), "it holds what the others told");
-    member.step(9_000, 3, Message::Ask { term: 4, early: false, last: (9, 9) });
+    member.step(9_000, 3, Message::RequestVote { term: 4, early: false, last: (9, 9) });
     let said = settle(&mut member, 9_000).1;
     assert!(
-        said.iter().all(|(_, message)| !matches!(message, Message::Lend { granted: true, .. })),
+        said.iter().all(|(_, message)| !matches!(message, Message::Vote { granted: true, .. })),
         "{said:?}"
     );
-    member.step(9_000, 3, Message::Ask { term: 5, early: false, last: (9, 9) });
+    member.step(9_000, 3, Message::RequestVote { term: 5, early: false, last: (9, 9) });
     let said = settle(&mut member, 9_000).1;
     assert!(
-        said.iter().any(|(_, message)| matches!(message, Message::Lend { granted: true, .. })),
+        said.iter().any(|(_, message)| matches!(message, Message::Vote { granted: true, .. })),
         "{said:?}"
     );
 }
@@ -258,17 +269,21 @@
     let term = member.term();
     member.suspend(now);
     assert_eq!(member.role(), Role::Follower, "it leads no longer");
-    assert_eq!(member.unbound(), [(2, Message::Hand { term })], "the one that holds most is to lead");
+    assert_eq!(
+        member.unbound(),
+        [(2, Message::TransferLeadership { term })],
+        "the one that holds most is to lead"
+    );
     // No vote, early or not, however long it waits; and it does not stand itself.
     for early in [true, false] {
-        member.step(now + 5_000, 3, Message::Ask { term: term + 1, early, last: (term, 9) });
+        member.step(now + 5_000, 3, Message::RequestVote { term: term + 1, early, last: (term, 9) });
         let refused = |(to, message): &(u32, Message)| {
-            *to == 3 && matches!(message, Message::Lend { granted: false, .. })
+            *to == 3 && matches!(message, Message::Vote { granted: false, .. })
         };
         assert!(member.unbound().iter().all(refused));
     }
     member.tick(now + 50_000);
-    member.step(now + 50_000, 2, Message::Hand { term: member.term() });
+    member.step(now + 50_000, 2, Message::TransferLeadership { term: member.term() });
     assert_eq!((member.role(), member.unbound()), (Role::Follower, Vec::new()));
     // It follows in memory, and says that it doesn't count.
     let term = member.term();
@@ -344,11 +359,11 @@
     // A refusal that was held up says nothing: it is older than what was told.
     let late = answer(&member, 19, false, 3);
     member.step(now, 2, late);
-    assert!(settle(&mut member, now).1.iter().all(|(_, it)| !matches!(it, Message::Forget { .. })));
+    assert!(settle(&mut member, now).1.iter().all(|(_, it)| !matches!(it, Message::DistrustDisk { .. })));
     let shrunk = answer(&member, 21, false, 3);
     member.step(now, 2, shrunk);
     let term = member.term();
-    assert_eq!(settle(&mut member, now).1, [(2, Message::Forget { term })]);
+    assert_eq!(settle(&mut member, now).1, [(2, Message::DistrustDisk { term })]);
     // What it says now counts no more: with the third machine silent nothing is committed.
     member.propose(now, vec![9]);
     settle(&mut member, now);
@@ -360,11 +375,11 @@
     let before = back.marks().1;
     back.step(0, 1, Message::Append { term, before, entries: Vec::new(), commit: 0, round: 21 });
     settle(&mut back, 0);
-    back.step(0, 1, Message::Forget { term });
-    back.step(0, 3, Message::Ask { term: term + 1, early: false, last: (term, 8) });
+    back.step(0, 1, Message::DistrustDisk { term });
+    back.step(0, 3, Message::RequestVote { term: term + 1, early: false, last: (term, 8) });
     back.tick(25);
     let (_, asks) = settle(&mut back, 25);
-    assert!(back.lost() && asks.iter().all(|(_, it)| matches!(it, Message::Recall { .. })), "{asks:?}");
+    assert!(back.lost() && asks.iter().all(|(_, it)| matches!(it, Message::QueryState { .. })), "{asks:?}");
     assert_eq!(asks.iter().map(|(to, _)| *to).collect::<Vec<_>>(), [1, 3]);
 }
 
@@ -383,19 +398,21 @@
     let mut again = Member::new(options(1), &stored, None, &FOUNDERS, now).unwrap();
     again.tick(now);
     let asked = settle(&mut again, now).1;
-    let Some((_, Message::Recall { call })) = asked.first() else { panic!("it asks the others: {asked:?}") };
+    let Some((_, Message::QueryState { call })) = asked.first() else {
+        panic!("it asks the others: {asked:?}")
+    };
     (again, *call)
 }
 
 fn told(call: u64, term: u64, last: (u64, u64)) -> Message {
-    Message::Recalled { call, term, last, members: FOUNDERS.to_vec(), memory: Memory::Unconfirmed }
+    Message::StateReport { call, term, last, members: FOUNDERS.to_vec(), memory: Memory::Unconfirmed }
 }
 
 /// Whether a machine votes for a candidate.
 fn votes(member: &mut Member, now: u64, term: u64, last: (u64, u64)) -> bool {
-    member.step(now, 3, Message::Ask { term, early: false, last });
+    member.step(now, 3, Message::RequestVote { term, early: false, last });
     let said = settle(member, now).1;
-    said.iter().any(|(_, message)| matches!(message, Message::Lend { granted: true, .. }))
+    said.iter().any(|(_, message)| matches!(message, Message::Vote { granted: true, .. }))
 }
 
 #[test]
--- a/crates/consensus/tests/model.rs
+++ b/crates/consensus/tests/model.rs
@@ -48,7 +48,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 enum Message {
-    Lend { term: u8 },
+    Vote { term: u8 },
     Append { term: u8, log: Log },
     Appended { term: u8, matched: usize, life: u8 },
 }
@@ -172,7 +172,7 @@
         let own = &mut world.machines[at];
         match message {
             _ if deaf => {}
-            Message::Lend { term } => {
+            Message::Vote { term } => {
                 if term == own.term && own.vote == Some(to) && own.lost.is_none() {
                     own.votes.insert(from);
                     self.elected(world, at);
@@ -278,7 +278,7 @@
                 let free = own.vote.is_none() || own.vote == Some(candidate as u8);
                 if term == own.term && free && !behind && own.lost.is_none() && !own.leads {
                     own.vote = Some(candidate as u8);
-                    next.post(at as u8, candidate as u8, Message::Lend { term });
+                    next.post(at as u8, candidate as u8, Message::Vote { term });
                 }
             }
             Act::Propose(at) => {
--- a/crates/consensus/tests/simulation/mod.rs
+++ b/crates/consensus/tests/simulation/mod.rs
@@ -281,7 +281,7 @@
 
     pub fn post(&mut self, from: Id, to: Id, message: Message) {
         // No disk is put back here, but one that was lost may count again before a leader hears that it was: others never.
-        let forgot = matches!(message, Message::Forget { .. });
+        let forgot = matches!(message, Message::DistrustDisk { .. });
         assert!(!forgot || self.ever_lost.contains(&to), "{from} says that {to} has forgotten");
         if self.cuts.contains(&(from, to)) || self.chance.random_bool(self.loss) {
             return;
--- a/crates/control-plane/src/core.rs
+++ b/crates/control-plane/src/core.rs
@@ -15,11 +15,11 @@
 use crate::drift::Drift;
 use crate::metrics::Metrics;
 use membership::Margin;
-use milletwing_config::{tell, Settings};
+use milletwing_config::{event, Settings};
 use milletwing_consensus::{Id, Mark, Member, Message, Options, Role};
 use milletwing_drift_detection::Finding;
-use milletwing_outlier_detection::{Board, Felt, Tally};
-use milletwing_replicated_state::{Heard, Registry, View};
+use milletwing_outlier_detection::{Board, Observed, Tally};
+use milletwing_replicated_state::{EdgeStatus, Registry, View};
 use milletwing_sequential_test::{self as sequential_test};
 use milletwing_wire::{Answer, Peer};
 use orders::{reverted_services, Changed, Orders};
@@ -141,11 +141,11 @@
     board: Board,
     /// What edges met at hosts, as this machine weighs it while it leads.
     tally: Tally,
-    met: BTreeMap<u32, (u64, Time, Vec<Felt>)>,
+    met: BTreeMap<u32, (u64, Time, Vec<Observed>)>,
     /// Whether edges route by what was agreed.
     pub drift: Drift,
     /// Edges as the others were told of them in whole, and when all were last.
-    gossiped: BTreeMap<u32, Heard>,
+    gossiped: BTreeMap<u32, EdgeStatus>,
     retold: Time,
     lost: bool,
     /// Its start is confirmed, as it was told; and up to where its log lacked entries when that was told.
@@ -196,7 +196,7 @@
         // As if just now: when these came to their bad ends is not known.
         let reverted = reverted_services(&view).map(|service| (service, 1)).collect();
         if lost {
-            tell!(DiskLost, "{}: asks the others", settings.own.node_name);
+            event!(DiskLost, "{}: asks the others", settings.own.node_name);
         }
         Ok(Rc::new(RefCell::new(Core {
             known: seeds.iter().copied().filter(|id| *id != settings.id()).collect(),
@@ -270,7 +270,7 @@
             core.fold();
             core.look();
             for (to, message) in core.member.unbound() {
-                core.post(to, &Peer::Accord(message));
+                core.post(to, &Peer::Consensus(message));
             }
             if core.out.is_some() {
                 return;
@@ -278,14 +278,14 @@
             let Some(work) = core.member.work() else { return };
             if work.batch.is_empty() {
                 for (to, message) in work.messages {
-                    core.post(to, &Peer::Accord(message));
+                    core.post(to, &Peer::Consensus(message));
                 }
                 continue;
             }
             let since = core.now();
             core.out = Some(Out { last: work.last, messages: work.messages, since });
             if core.disk.send(work.batch).is_err() {
-                tell!(DiskUnusable, "the disk's thread has ended");
+                event!(DiskUnusable, "the disk's thread has ended");
                 std::process::exit(3);
             }
             return;
@@ -300,11 +300,11 @@
                 let now = core.now();
                 core.metrics.written(Duration::from_millis(now.saturating_sub(out.since)));
                 if core.member.suspended() {
-                    tell!(DiskBack, "after {} ms", now.saturating_sub(out.since));
+                    event!(DiskBack, "after {} ms", now.saturating_sub(out.since));
                 }
                 core.member.saved(now, out.last);
                 for (to, message) in out.messages {
-                    core.post(to, &Peer::Accord(message));
+                    core.post(to, &Peer::Consensus(message));
                 }
             }
         }
@@ -327,7 +327,7 @@
     /// Promises nothing until the disk is back.
     fn suspend(&mut self, why: &str) {
         if !self.member.suspended() {
-            tell!(DiskFailed, "{why}: nothing is promised until it is back");
+            event!(DiskFailed, "{why}: nothing is promised until it is back");
             let now = self.now();
             self.member.suspend(now);
         }
@@ -338,7 +338,7 @@
         let now = self.now();
         let (role, leader) = (self.member.role(), self.member.leader());
         if role == Role::Leader && self.role != Role::Leader {
-            tell!(Leads, "term {}", self.member.term());
+            event!(Leads, "term {}", self.member.term());
             self.trials.clear();
             self.tally = Tally::default();
             self.lingers.clear();
@@ -346,19 +346,19 @@
         }
         if leader != self.leader && role != Role::Leader {
             let name = leader.map_or("nobody".into(), |id| std::net::Ipv4Addr::from_bits(id).to_string());
-            tell!(Follows, "term {}: {name}", self.member.term());
+            event!(Follows, "term {}: {name}", self.member.term());
         }
         (self.role, self.leader) = (role, leader);
         if self.lost && !self.member.lost() {
             self.lost = false;
-            tell!(Whole, "as of entry {}", self.view.index);
+            event!(Whole, "as of entry {}", self.view.index);
         }
         self.note_start();
         if self.members != self.member.members() {
             self.members = self.member.members().to_vec();
             let names: Vec<String> =
                 self.members.iter().map(|id| std::net::Ipv4Addr::from_bits(*id).to_string()).collect();
-            tell!(Members, "{}", names.join(" "));
+            event!(Members, "{}", names.join(" "));
             for id in self.members.clone() {
                 self.meet(id);
             }
@@ -375,11 +375,11 @@
             }
             let now = core.now();
             match peer {
-                Peer::Accord(message) => core.member.step(now, from, message),
-                Peer::Heard { nodes, edges, still } => {
+                Peer::Consensus(message) => core.member.step(now, from, message),
+                Peer::Gossip { nodes, edges, heartbeats } => {
                     core.registry.heard(now, &nodes);
                     edges.into_iter().for_each(|(edge, ago)| core.registry.edge(now, edge, ago));
-                    still.iter().for_each(|still| core.registry.still(now, still));
+                    heartbeats.iter().for_each(|it| core.registry.edge_heartbeat(now, it));
                 }
                 Peer::Call { call, ask } => {
                     let shared = Rc::clone(shared);
@@ -398,14 +398,14 @@
                 }
                 Peer::Drift { edge, life, zone, finding } => {
                     if core.role == Role::Leader {
-                        core.drift.healer.told(now, edge, life, &zone, finding);
+                        core.drift.repairer.told(now, edge, life, &zone, finding);
                     }
                 }
                 Peer::ViewDigest(index, digest) => core.view_digest(now, from, index, &digest),
-                Peer::Felt(told) => {
-                    for (edge, ago, felt) in told {
-                        core.board.take(now, &felt, ago);
-                        core.suspect(now, edge, &felt, ago);
+                Peer::Observed(told) => {
+                    for (edge, ago, observed) in told {
+                        core.board.take(now, &observed, ago);
+                        core.suspect(now, edge, &observed, ago);
                     }
                 }
                 Peer::Join => {
@@ -474,8 +474,9 @@
         }
         if !self.met.is_empty() {
             let met = std::mem::take(&mut self.met).into_iter();
-            let told = met.map(|(edge, (_, at, felt))| (edge, now.saturating_sub(at), felt)).collect();
-            self.post_all(&Peer::Felt(told));
+            let told =
+                met.map(|(edge, (_, at, observed))| (edge, now.saturating_sub(at), observed)).collect();
+            self.post_all(&Peer::Observed(told));
         }
         if now >= self.told + 500 {
             self.told = now;
@@ -488,8 +489,8 @@
                 self.retold = now;
                 self.gossiped.clear();
             }
-            let (edges, still) = self.registry.gossip(now, &mut self.gossiped);
-            self.post_all(&Peer::Heard { nodes, edges, still });
+            let (edges, heartbeats) = self.registry.gossip(now, &mut self.gossiped);
+            self.post_all(&Peer::Gossip { nodes, edges, heartbeats });
             // One that is not a member, or that hears no leader and may have been replaced, asks all it knows: whoever leads
             // takes it in.
             let outside = !self.member.members().contains(&self.settings.id());
--- a/crates/control-plane/src/core/directory.rs
+++ b/crates/control-plane/src/core/directory.rs
@@ -2,7 +2,7 @@
 
 use super::{Core, Time, FRESH, GROWING};
 use milletwing_config::configuration::Route;
-use milletwing_replicated_state::Heard;
+use milletwing_replicated_state::EdgeStatus;
 use std::net::SocketAddrV4;
 
 /// Edges in one answer at most.
@@ -40,14 +40,14 @@
         // One that is cut off keeps what it last knew.
         let reach = if self.member.fresh(now, FRESH) { EDGE_HEARD } else { 30_000 };
         let known = || self.registry.edges(now).filter(|(edge, _)| !self.view.rests(edge.id, edge.life));
-        let ready: Vec<&Heard> =
+        let ready: Vec<&EdgeStatus> =
             known().filter(|(edge, ago)| edge.ready && *ago <= reach).map(|(edge, _)| edge).collect();
         let near = ready.iter().filter(|edge| edge.region == region).map(|edge| edge.ingress).collect();
         let (mut edges, mut hold_s): (Vec<SocketAddrV4>, f64) = (near, self.hold_s());
         let homed = if edges.is_empty() { self.homed(host) } else { Vec::new() };
         if !homed.is_empty() {
             let home =
-                |edge: &&&Heard| homed.iter().all(|route| route.serving_regions.contains(&edge.region));
+                |edge: &&&EdgeStatus| homed.iter().all(|route| route.serving_regions.contains(&edge.region));
             edges = ready.iter().filter(home).map(|edge| edge.ingress).collect();
             if edges.is_empty() {
                 let leaving = known().filter(|(edge, ago)| !edge.ready && *ago <= EDGE_HEARD);
--- a/crates/control-plane/src/core/evidence.rs
+++ b/crates/control-plane/src/core/evidence.rs
@@ -1,26 +1,26 @@
 //! What edges report of themselves and of marshals, and what follows from it.
 
 use super::{Core, Time, FRESH};
-use milletwing_config::tell;
+use milletwing_config::event;
 use milletwing_consensus::{Id, Role};
 use milletwing_drift_detection::{Digest, Finding, Names, Order};
-use milletwing_outlier_detection::{key, Felt, Known, Move};
-use milletwing_replicated_state::{Command, Heard};
-use milletwing_wire::{frame, Down, Peer, Said};
+use milletwing_outlier_detection::{key, Known, Move, Observed};
+use milletwing_replicated_state::{Command, EdgeStatus};
+use milletwing_wire::{frame, EdgeReport, Peer, ToEdge};
 use std::rc::Rc;
 
 impl Core {
     /// An edge's beat.
-    pub fn beaten(&mut self, id: u64, said: Said) {
+    pub fn beaten(&mut self, id: u64, said: EdgeReport) {
         let now = self.now();
-        let Said { edge, index, reports, felt, reflection, sample } = said;
+        let EdgeReport { edge, index, reports, observed, reflection, sample } = said;
         if let Some(feed) = self.feeds.get_mut(&id) {
             feed.folded = index;
         }
         if !reports.is_empty() {
             self.reports(edge.id, edge.life, reports);
         }
-        self.felt(now, &edge, felt);
+        self.observed(now, &edge, observed);
         let fresh = self.member.fresh(now, FRESH) && !self.member.lost();
         let findings = self.drift.beat(now, &self.view, (edge.id, index), reflection, sample, fresh);
         let (number, life) = (edge.id, edge.life);
@@ -28,7 +28,7 @@
         for finding in findings {
             if matches!(finding, Finding::Partial(_)) {
                 if let Some(feed) = self.feeds.get(&id) {
-                    let _ = feed.send.try_send((None, Rc::new(frame(&Down::Names))));
+                    let _ = feed.send.try_send((None, Rc::new(frame(&ToEdge::Names))));
                     // it will be asked again
                 }
             }
@@ -41,7 +41,7 @@
         let Some(edge) = self.feeds.get(&id).map(|feed| feed.edge) else { return };
         let differences = self.drift.compare(&self.view, edge, names);
         if !differences.is_empty() {
-            tell!(Drifted, "{}: {}", std::net::Ipv4Addr::from_bits(edge), differences.join(", "));
+            event!(Drifted, "{}: {}", std::net::Ipv4Addr::from_bits(edge), differences.join(", "));
         }
     }
 
@@ -50,17 +50,17 @@
         let zone = self.registry.edges(now).find(|(it, _)| it.id == edge).map(|(it, _)| it.zone.clone());
         let zone = zone.unwrap_or_default();
         if self.role == Role::Leader {
-            self.drift.healer.told(now, edge, life, &zone, finding);
+            self.drift.repairer.told(now, edge, life, &zone, finding);
         } else if let Some(leader) = self.leader {
             self.post(leader, &Peer::Drift { edge, life, zone, finding });
         }
     }
 
     /// What an edge met, as evidence on hosts: where this machine leads.
-    pub(super) fn suspect(&mut self, now: Time, edge: u32, felt: &[Felt], ago: Time) {
+    pub(super) fn suspect(&mut self, now: Time, edge: u32, observed: &[Observed], ago: Time) {
         if self.role == Role::Leader {
             let zone = self.registry.edges(now).find(|(it, _)| it.id == edge).map(|(it, _)| it.zone.clone());
-            self.tally.take(now, edge, &zone.unwrap_or_default(), felt, ago);
+            self.tally.take(now, edge, &zone.unwrap_or_default(), observed, ago);
         }
     }
 
@@ -127,27 +127,27 @@
         let orders = self.drift.step(now, &ready);
         orders
             .into_iter()
-            .map(|Order { edge, life, step, why }| Command::Heal { edge, life, step, why })
+            .map(|Order { edge, life, step, why }| Command::Repair { edge, life, step, why })
             .collect()
     }
 
     /// Another machine of the core says what its entries make.
     pub(super) fn view_digest(&mut self, now: Time, from: Id, index: u64, digest: &Digest) {
         if self.drift.view_digest(now, from, index, digest) {
-            tell!(CoreDiffers, "{}, as of entry {index}", std::net::Ipv4Addr::from_bits(from));
+            event!(CoreDiffers, "{}, as of entry {index}", std::net::Ipv4Addr::from_bits(from));
         }
     }
 
     /// What an edge of this machine met at hosts.
-    pub(super) fn felt(&mut self, now: Time, edge: &Heard, felt: Vec<Felt>) {
-        if felt.is_empty() {
+    pub(super) fn observed(&mut self, now: Time, edge: &EdgeStatus, observed: Vec<Observed>) {
+        if observed.is_empty() {
             return;
         }
-        self.board.take(now, &felt, 0);
-        self.suspect(now, edge.id, &felt, 0);
+        self.board.take(now, &observed, 0);
+        self.suspect(now, edge.id, &observed, 0);
         let (_, at, met) = self.met.entry(edge.id).or_insert((edge.life, now, Vec::new()));
         *at = now;
         // Bounded by what is told on four times a second; what doesn't fit is told by the edge's next requests.
-        met.extend(felt.into_iter().take(1024usize.saturating_sub(met.len())));
+        met.extend(observed.into_iter().take(1024usize.saturating_sub(met.len())));
     }
 }
--- a/crates/control-plane/src/core/folding.rs
+++ b/crates/control-plane/src/core/folding.rs
@@ -1,7 +1,7 @@
 //! Committed entries become the state here; those who wait for them are answered, and edges are told.
 
 use super::{Changed, Core, RECENT};
-use milletwing_config::tell;
+use milletwing_config::event;
 use milletwing_consensus::Payload;
 use milletwing_replicated_state::{Command, Outcome, View};
 use milletwing_wire::Answer;
@@ -14,7 +14,7 @@
             match View::unpacked(&data) {
                 Ok(view) => self.view = view,
                 Err(problem) => {
-                    tell!(DiskUnusable, "the leader's snapshot: {problem}");
+                    event!(DiskUnusable, "the leader's snapshot: {problem}");
                     std::process::exit(3);
                 }
             }
@@ -23,7 +23,7 @@
             self.recent.clear();
             self.recent_bytes = 0;
         }
-        let mut heals = Vec::new();
+        let mut repairs = Vec::new();
         for entry in self.member.committed() {
             let (answer, bytes) = match entry.payload {
                 Payload::Data(bytes) => match Command::read(&bytes) {
@@ -34,8 +34,8 @@
                         if let Command::Settle { service, good: false, .. } = &command {
                             self.reverted.insert(service.clone(), self.now());
                         }
-                        if let Command::Heal { edge, life, step, .. } = &command {
-                            heals.push((*edge, *life, *step));
+                        if let Command::Repair { edge, life, step, .. } = &command {
+                            repairs.push((*edge, *life, *step));
                         }
                         if let Command::Evacuate { zone, on: true, .. } = &command {
                             self.emptied.insert(zone.clone(), self.now());
@@ -74,8 +74,8 @@
                 let _ = read.send(Answer::Done(index));
             }
         }
-        for (edge, life, step) in heals {
-            self.heal(edge, life, step);
+        for (edge, life, step) in repairs {
+            self.repair(edge, life, step);
         }
         let ids: Vec<u64> =
             self.feeds.iter().filter(|(_, feed)| feed.sent < index).map(|(id, _)| *id).collect();
@@ -86,14 +86,14 @@
 
     pub(super) fn note(&self, index: u64, command: &Command, outcome: &Outcome) {
         match (command, outcome) {
-            (_, Outcome::Refused(kind)) => tell!(Refused, "entry {index}: {kind}"),
+            (_, Outcome::Refused(kind)) => event!(Refused, "entry {index}: {kind}"),
             (Command::Configure { .. }, _) => {
-                tell!(Configured, "entry {index}: revision {}", self.view.revision)
+                event!(Configured, "entry {index}: revision {}", self.view.revision)
             }
             (Command::NodeUp(node), _) => {
                 let phase =
                     if node.phase == milletwing_replicated_state::Phase::Warm { "warm" } else { "cold" };
-                tell!(
+                event!(
                     NodeUp,
                     "{} {} of {} at {} in {}, {phase}",
                     node.id,
@@ -103,29 +103,29 @@
                     node.zone
                 )
             }
-            (Command::NodeDrains { id }, _) => tell!(NodeDrains, "{id}"),
+            (Command::NodeDrains { id }, _) => event!(NodeDrains, "{id}"),
             (Command::NodeGone { id, silent }, _) => {
-                tell!(NodeGone, "{id}{}", if *silent { ", silent" } else { "" })
+                event!(NodeGone, "{id}{}", if *silent { ", silent" } else { "" })
             }
-            (Command::NodeWarm { id }, _) => tell!(NodeWarm, "{id}"),
-            (Command::NodeCold { id, .. }, _) => tell!(NodeWarm, "{id} is cold"),
+            (Command::NodeWarm { id }, _) => event!(NodeWarm, "{id}"),
+            (Command::NodeCold { id, .. }, _) => event!(NodeWarm, "{id} is cold"),
             (Command::Evacuate { zone, on, .. }, _) => {
-                tell!(Evacuated, "{zone} {}", if *on { "is emptied" } else { "is taken back" })
+                event!(Evacuated, "{zone} {}", if *on { "is emptied" } else { "is taken back" })
             }
             (Command::RollOut { service, revision, .. }, _) => {
-                tell!(RollOut, "{service}: {revision} ordered")
+                event!(RollOut, "{service}: {revision} ordered")
             }
-            (Command::Stage { service, stage, .. }, _) => tell!(RollOut, "{service}: stage {stage}"),
-            (Command::Suspect { id, looks }, _) if looks.is_empty() => tell!(Suspected, "{id} is taken out"),
+            (Command::Stage { service, stage, .. }, _) => event!(RollOut, "{service}: stage {stage}"),
+            (Command::Suspect { id, looks }, _) if looks.is_empty() => event!(Suspected, "{id} is taken out"),
             (Command::Suspect { id, looks }, _) => {
-                tell!(Suspected, "{id} is looked at by {} edges", looks.len())
+                event!(Suspected, "{id} is looked at by {} edges", looks.len())
             }
-            (Command::Trust { id }, _) => tell!(Suspected, "{id} takes its part again"),
-            (Command::Heal { edge, step, why, .. }, _) => {
-                tell!(Heals, "{}: {}: {why}", std::net::Ipv4Addr::from_bits(*edge), step.word())
+            (Command::Trust { id }, _) => event!(Suspected, "{id} takes its part again"),
+            (Command::Repair { edge, step, why, .. }, _) => {
+                event!(Repairs, "{}: {}: {why}", std::net::Ipv4Addr::from_bits(*edge), step.word())
             }
             (Command::Settle { service, good, .. }, _) => {
-                tell!(RollOut, "{service}: {}", if *good { "completed" } else { "reverted" })
+                event!(RollOut, "{service}: {}", if *good { "completed" } else { "reverted" })
             }
         }
     }
--- a/crates/control-plane/src/core/membership.rs
+++ b/crates/control-plane/src/core/membership.rs
@@ -1,7 +1,7 @@
 //! Which machines make up the core, who may stop, and how many further losses are borne.
 
 use super::{Core, Shared, Time};
-use milletwing_config::tell;
+use milletwing_config::event;
 use milletwing_consensus::Id;
 use milletwing_consensus::Retirement;
 use milletwing_replicated_state::registry::Verdict;
@@ -28,7 +28,7 @@
         let behind = self.member.behind();
         if let Some((term, index)) = behind.filter(|_| self.behind != behind) {
             let (_, last) = self.member.marks();
-            tell!(
+            event!(
                 DiskBehind,
                 "its log ends at {} of term {}, others' at {index} of term {term}",
                 last.1,
@@ -38,7 +38,7 @@
         self.behind = behind;
         let confirmed = self.member.confirmed();
         if confirmed && !self.confirmed && !self.member.lost() {
-            tell!(StartConfirmed, "as of entry {}", self.member.marks().1 .1);
+            event!(StartConfirmed, "as of entry {}", self.member.marks().1 .1);
         }
         self.confirmed = confirmed;
     }
@@ -90,7 +90,7 @@
         };
         let alone = shared.borrow().member.members().iter().all(|member| *member == id);
         if !alone && tokio::time::timeout(within, asks).await.is_err() {
-            tell!(LeavesEarly, "the others may lack what this machine holds");
+            event!(LeavesEarly, "the others may lack what this machine holds");
         }
     }
 
@@ -102,7 +102,7 @@
         }
         if seen.is_some() && seen != self.margin.told && now >= self.margin.since + STEADY {
             self.margin.told = seen;
-            tell!(LossesBorne, "{} of {} members", seen.unwrap_or(0), self.member.members().len());
+            event!(LossesBorne, "{} of {} members", seen.unwrap_or(0), self.member.members().len());
         }
     }
 }
--- a/crates/control-plane/src/core/orders.rs
+++ b/crates/control-plane/src/core/orders.rs
@@ -1,7 +1,7 @@
 //! Orders and beats: decided here where this machine leads, else passed on to the leader, for as long as their callers wait.
 
 use super::{Core, Shared, Time};
-use milletwing_config::{tell, Configuration, Kind};
+use milletwing_config::{event, Configuration, Kind};
 use milletwing_consensus::{Mark, Role};
 use milletwing_replicated_state::registry::Verdict;
 use milletwing_replicated_state::view::digest;
@@ -261,7 +261,7 @@
             Verdict::Enter(Command::NodeUp(node)) => match self.view.admits(2 * node.weight()) {
                 Ok(()) => self.enter(&Command::NodeUp(node)),
                 Err(kind) => {
-                    tell!(Refused, "{}: {kind}", node.id);
+                    event!(Refused, "{}: {kind}", node.id);
                     Some(at_once(Answer::Refused(kind.answer().status, kind.to_string())))
                 }
             },
--- a/crates/control-plane/src/core/subscriptions.rs
+++ b/crates/control-plane/src/core/subscriptions.rs
@@ -2,14 +2,14 @@
 
 use super::{Core, Feed, Time, Word, FRESH};
 use milletwing_drift_detection::Step;
-use milletwing_replicated_state::Heard;
-use milletwing_wire::{frame, Down};
+use milletwing_replicated_state::EdgeStatus;
+use milletwing_wire::{frame, ToEdge};
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
 impl Core {
     /// An edge's connection: what it lacks goes into its queue from now on.
-    pub fn attach(&mut self, edge: Heard, index: u64) -> (u64, mpsc::Receiver<Word>) {
+    pub fn attach(&mut self, edge: EdgeStatus, index: u64) -> (u64, mpsc::Receiver<Word>) {
         let (send, queue) = mpsc::channel(256);
         self.next += 1;
         let (id, now) = (self.next, self.now());
@@ -46,10 +46,10 @@
             let from = self.recent.partition_point(|(at, _)| *at <= feed.sent);
             let entries =
                 self.recent.iter().skip(from).map(|(at, bytes)| (*at, bytes.as_ref().clone())).collect();
-            Some(Rc::new(frame(&Down::Entries(entries))))
+            Some(Rc::new(frame(&ToEdge::Entries(entries))))
         } else {
             if self.whole.as_ref().is_none_or(|(at, _)| *at != index) {
-                self.whole = Some((index, Rc::new(frame(&Down::Whole(self.view.packed())))));
+                self.whole = Some((index, Rc::new(frame(&ToEdge::Whole(self.view.packed())))));
             }
             None
         };
@@ -75,18 +75,18 @@
         }
     }
 
-    pub(super) fn pulsed(&self, now: Time, loads: Vec<(u32, u16)>) -> Down {
+    pub(super) fn pulsed(&self, now: Time, loads: Vec<(u32, u16)>) -> ToEdge {
         let mut cores = self.member.members().to_vec();
         if cores.is_empty() {
             cores.push(self.settings.id());
         }
         let fresh = self.member.fresh(now, FRESH) && !self.member.lost() && !self.drift.odd(now);
         let edges = self.registry.ready(now).len() as u32;
-        Down::Pulse { fresh, index: self.view.index, cores, edges, loads }
+        ToEdge::Pulse { fresh, index: self.view.index, cores, edges, loads }
     }
 
     /// A step that was agreed, for an edge that this machine tells.
-    pub(super) fn heal(&mut self, edge: u32, life: u64, step: Step) {
+    pub(super) fn repair(&mut self, edge: u32, life: u64, step: Step) {
         let of = |feed: &Feed| (feed.edge, feed.life) == (edge, life);
         let Some(id) = self.feeds.iter().find(|(_, feed)| of(feed)).map(|(id, _)| *id) else { return };
         let Some(feed) = self.feeds.get_mut(&id) else { return };
@@ -94,13 +94,13 @@
             Step::Again => feed.sent = feed.folded.min(feed.sent),
             Step::Renew => {
                 feed.sent = self.view.index;
-                let whole = Down::Renew(self.view.packed());
+                let whole = ToEdge::Renew(self.view.packed());
                 if feed.send.try_send((None, Rc::new(frame(&whole)))).is_err() {
                     self.feeds.remove(&id); // it takes nothing: it will dial anew
                 }
             }
             Step::Back | Step::Rest | Step::End => {
-                let _ = feed.send.try_send((None, Rc::new(frame(&Down::Heal(step)))));
+                let _ = feed.send.try_send((None, Rc::new(frame(&ToEdge::Repair(step)))));
                 // the next step is due if it is lost
             }
         }
--- a/crates/control-plane/src/disk.rs
+++ b/crates/control-plane/src/disk.rs
@@ -3,7 +3,7 @@
 //! with growing pauses on the file opened anew; a file that turns out damaged ends the process, whose next start asks the others.
 
 use crate::core::{Core, Shared, Writes};
-use milletwing_config::{tell, Settings};
+use milletwing_config::{event, Settings};
 use milletwing_consensus::{Batch, Stored};
 use milletwing_replicated_state::View;
 use milletwing_storage::{Backoff, Fault, LogStore, Opened, Report, Writer};
@@ -35,7 +35,7 @@
             let opened =
                 opened(path).await.map_err(|why| format!("self.stateDir {}: {why}", path.display()))?;
             if let Some(damage) = opened.damage {
-                tell!(DiskLost, "{damage}");
+                event!(DiskLost, "{damage}");
             }
             (opened.store, opened.stored)
         }
@@ -79,14 +79,14 @@
         match open_file(path) {
             Ok(opened) => {
                 if told {
-                    tell!(DiskBack, "{} is open", path.display());
+                    event!(DiskBack, "{} is open", path.display());
                 }
                 return Ok(opened);
             }
             Err(Fault::Damaged(why)) => return Err(why),
             Err(Fault::Refused(why)) if !told => {
                 told = true;
-                tell!(DiskFailed, "{} can't be opened: {why}", path.display());
+                event!(DiskFailed, "{} can't be opened: {why}", path.display());
             }
             Err(Fault::Refused(_)) => {}
         }
@@ -102,7 +102,7 @@
             Report::Refused(why) => Core::refused(&core, &why),
             Report::Damaged(why) => {
                 // Guards against promises that are on no disk: the next start takes the disk for a lost one.
-                tell!(DiskUnusable, "{why}");
+                event!(DiskUnusable, "{why}");
                 std::process::exit(3);
             }
         }
--- a/crates/control-plane/src/drift.rs
+++ b/crates/control-plane/src/drift.rs
@@ -1,8 +1,10 @@
 //! Whether edges route by what was agreed, as one machine of the core sees it: `milletwing-drift-detection` with this machine's view.
 
-use milletwing_config::{tell, Configuration};
+use milletwing_config::{event, Configuration};
 use milletwing_consensus::Id;
-use milletwing_drift_detection::{Checker, Digest, Finding, Healer, Names, Order, Part, Reflection, Sample};
+use milletwing_drift_detection::{
+    Checker, Digest, Finding, Names, Order, Part, Reflection, Repairer, Sample,
+};
 use milletwing_replicated_state::View;
 use milletwing_routing::intent;
 use milletwing_routing::table::Table;
@@ -31,7 +33,7 @@
 /// Checks of the edges that this machine tells, and the leader's record of all.
 pub struct Drift {
     pub checker: Checker,
-    pub healer: Healer,
+    pub repairer: Repairer,
     /// Routes as they are looked up, of the configuration in force.
     table: (Option<Arc<Configuration>>, Table),
     samples: VecDeque<Decision>,
@@ -49,7 +51,7 @@
     pub fn new(lag: Time) -> Drift {
         Drift {
             checker: Checker::new(lag),
-            healer: Healer::default(),
+            repairer: Repairer::default(),
             table: (None, Table::default()),
             samples: VecDeque::new(),
             decided: (0, 0),
@@ -158,30 +160,30 @@
 
     /// What the leader does next; edges that drift or are well again are told to operators.
     pub fn step(&mut self, now: Time, ready: &[(u32, String)]) -> Vec<Order> {
-        let orders = self.healer.step(now, ready);
+        let orders = self.repairer.step(now, ready);
         let mut drifted = BTreeSet::new();
-        for (edge, standing) in self.healer.edges() {
+        for (edge, standing) in self.repairer.edges() {
             if standing.since.is_none() {
                 continue;
             }
             drifted.insert(edge);
             let word = standing.finding.word();
             if standing.finding.drift() && self.named.get(&edge) != Some(&word) {
-                tell!(Drifted, "{} in {}: {word}", Ipv4Addr::from_bits(edge), standing.zone);
+                event!(Drifted, "{} in {}: {word}", Ipv4Addr::from_bits(edge), standing.zone);
                 self.named.insert(edge, word);
             }
         }
         self.named.retain(|edge, _| {
             let still = drifted.contains(edge);
             if !still {
-                tell!(Recovered, "{}", Ipv4Addr::from_bits(*edge));
+                event!(Recovered, "{}", Ipv4Addr::from_bits(*edge));
             }
             still
         });
-        if self.healer.alarm && !self.doubt {
-            tell!(AllDrift, "{} edges", drifted.len());
+        if self.repairer.alarm && !self.doubt {
+            event!(AllDrift, "{} edges", drifted.len());
         }
-        self.doubt = self.healer.alarm;
+        self.doubt = self.repairer.alarm;
         orders
     }
 
@@ -202,7 +204,7 @@
 
     /// For operators: all edges that were heard, with what was found of each.
     pub fn tell(&self, now: Time, view: &View, heard: &[(u32, String, Time)]) -> serde_json::Value {
-        let known: BTreeMap<u32, _> = self.healer.edges().collect();
+        let known: BTreeMap<u32, _> = self.repairer.edges().collect();
         let edges = heard.iter().map(|(edge, zone, silent)| {
             let standing = known.get(edge);
             let found = standing.filter(|it| now.saturating_sub(it.at) < 4_000 && *silent < 4_000);
@@ -212,11 +214,11 @@
                 "driftedMs": standing.and_then(|it| it.since).map(|since| now.saturating_sub(since)),
                 "step": standing.and_then(|it| it.step).map(|(step, _)| step.word())})
         });
-        let heals = view.heals.iter().map(|heal| {
-            json!({"entry": heal.index, "edge": Ipv4Addr::from_bits(heal.edge).to_string(), "step": heal.step.word(),
-                "why": heal.why})
+        let repairs = view.repairs.iter().map(|repair| {
+            json!({"entry": repair.index, "edge": Ipv4Addr::from_bits(repair.edge).to_string(), "step": repair.step.word(),
+                "why": repair.why})
         });
-        json!({"edges": edges.collect::<Vec<_>>(), "heals": heals.collect::<Vec<_>>(), "allInDoubt": self.healer.alarm,
+        json!({"edges": edges.collect::<Vec<_>>(), "repairs": repairs.collect::<Vec<_>>(), "allInDoubt": self.repairer.alarm,
             "digestsChecked": self.checker.checked, "digestsThatDiffered": self.checker.differed,
             "decisionsChecked": self.decided.0, "decisionsThatDiffered": self.decided.1})
     }
--- a/crates/control-plane/src/feeds.rs
+++ b/crates/control-plane/src/feeds.rs
@@ -1,8 +1,8 @@
 //! Connections of edges: entries as they are folded here, a pulse in between, and the edges' own beats.
 
 use crate::core::Shared;
-use milletwing_replicated_state::Heard;
-use milletwing_wire::{self as wire, Up};
+use milletwing_replicated_state::EdgeStatus;
+use milletwing_wire::{self as wire, FromEdge};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -13,7 +13,7 @@
 /// Serves an edge until either side ends.
 pub async fn serve(
     core: Shared,
-    edge: Heard,
+    edge: EdgeStatus,
     index: u64,
     mut read: impl AsyncRead + Unpin + 'static,
     mut write: impl AsyncWrite + Unpin,
@@ -21,12 +21,13 @@
     let (id, mut queue) = core.borrow_mut().attach(edge, index);
     let hearing = Rc::clone(&core);
     let hears = tokio::task::spawn_local(async move {
-        while let Ok(Ok(up)) = tokio::time::timeout(Duration::from_secs(3), wire::read::<Up>(&mut read)).await
+        while let Ok(Ok(up)) =
+            tokio::time::timeout(Duration::from_secs(3), wire::read::<FromEdge>(&mut read)).await
         {
             let core = &mut *hearing.borrow_mut();
             match up {
-                Up::Beat(said) => core.beaten(id, *said),
-                Up::Names(names) => core.named(id, &names),
+                FromEdge::Beat(said) => core.beaten(id, *said),
+                FromEdge::Names(names) => core.named(id, &names),
             }
         }
         hearing.borrow_mut().detach(id);
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -14,7 +14,7 @@
 pub use front::ROUTES;
 
 use crate::core::Core;
-use milletwing_config::{tell, Settings};
+use milletwing_config::{event, Settings};
 use milletwing_metrics::Endpoint;
 use milletwing_wire::serve_metrics;
 use std::future::Future;
@@ -53,7 +53,7 @@
         None => None,
     };
     let core = Core::start(settings.clone(), writes, rand::random())?;
-    tell!(Started, "control-plane {} control {}", settings.own.node_name, settings.binding("controlPlane")?);
+    event!(Started, "control-plane {} control {}", settings.own.node_name, settings.binding("controlPlane")?);
     let open = Rc::new(front::Open::default());
     let tasks = [
         tokio::task::spawn_local(disk::listen(Rc::clone(&core), written)),
@@ -72,7 +72,7 @@
         tokio::task::spawn_local(serve_metrics(settings.id(), endpoint, text));
     }
     leave.await;
-    tell!(Term, "handing over");
+    event!(Term, "handing over");
     // Calls under way have their answers; new ones go elsewhere after a failure.
     open.close();
     let end = tokio::time::Instant::now() + grace.mul_f64(0.5);
@@ -83,6 +83,6 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     tasks.iter().for_each(|task| task.abort());
-    tell!(Ended, "control-plane {}", settings.own.node_name);
+    event!(Ended, "control-plane {}", settings.own.node_name);
     Ok(())
 }
--- a/crates/control-plane/tests/control/callers.rs
+++ b/crates/control-plane/tests/control/callers.rs
@@ -6,8 +6,8 @@
 use milletwing_config::Kind;
 use milletwing_control_plane::core::Core;
 use milletwing_replicated_state::view::digest;
-use milletwing_replicated_state::{Beat, Command, Heard, Phase, View};
-use milletwing_wire::{self as wire, Answer, Ask, Down};
+use milletwing_replicated_state::{Beat, Command, EdgeStatus, Phase, View};
+use milletwing_wire::{self as wire, Answer, Ask, ToEdge};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -244,7 +244,7 @@
                 sleep(ms(50)).await;
                 continue;
             };
-            let edge = Heard {
+            let edge = EdgeStatus {
                 id: id(100 + number),
                 zone: "a".into(),
                 region: "north".into(),
@@ -255,7 +255,7 @@
             let (feed, mut queue) = core.borrow_mut().attach(edge, view.index);
             let until = Instant::now() + ms(self.net.draw(300..4_000));
             while let Ok(Some((_, bytes))) = tokio::time::timeout_at(until, queue.recv()).await {
-                let down = wire::read::<Down>(&mut bytes.as_slice()).await.unwrap();
+                let down = wire::read::<ToEdge>(&mut bytes.as_slice()).await.unwrap();
                 self.follow(&mut view, down);
             }
             core.borrow_mut().detach(feed);
@@ -263,22 +263,22 @@
     }
 
     /// As the edge's program folds it.
-    fn follow(&self, view: &mut View, down: Down) {
+    fn follow(&self, view: &mut View, down: ToEdge) {
         match down {
-            Down::Whole(packed) | Down::Renew(packed) => {
+            ToEdge::Whole(packed) | ToEdge::Renew(packed) => {
                 let whole = View::unpacked(&packed).unwrap();
                 if whole.index > view.index {
                     *view = whole;
                 }
             }
-            Down::Entries(entries) => {
+            ToEdge::Entries(entries) => {
                 for (index, bytes) in
                     entries.into_iter().filter(|(index, _)| *index > view.index).collect::<Vec<_>>()
                 {
                     view.apply(index, &Command::read(&bytes).unwrap());
                 }
             }
-            Down::Pulse { index, .. } if index > view.index => view.index = index,
+            ToEdge::Pulse { index, .. } if index > view.index => view.index = index,
             _ => {}
         }
         self.same(view);
--- a/crates/control-plane/tests/detection.rs
+++ b/crates/control-plane/tests/detection.rs
@@ -9,8 +9,8 @@
 use milletwing_config::Configuration;
 use milletwing_consensus::Role;
 use milletwing_control_plane::core::{Core, Shared};
-use milletwing_replicated_state::{Beat, Heard};
-use milletwing_wire::{self as wire, Answer, Down};
+use milletwing_replicated_state::{Beat, EdgeStatus};
+use milletwing_wire::{self as wire, Answer, ToEdge};
 use std::future::Future;
 use tokio::time::{sleep, Instant};
 
@@ -106,7 +106,7 @@
         run(async move {
             let (net, _, follower) = begun(seed).await;
             let core = net.core(follower).unwrap();
-            let edge = Heard {
+            let edge = EdgeStatus {
                 id: 9,
                 zone: "a".into(),
                 region: "north".into(),
@@ -124,7 +124,9 @@
                     cut = Some(Instant::now());
                 }
                 let Some((_, bytes)) = words.recv().await else { break };
-                if let Down::Pulse { fresh, .. } = wire::read::<Down>(&mut bytes.as_slice()).await.unwrap() {
+                if let ToEdge::Pulse { fresh, .. } =
+                    wire::read::<ToEdge>(&mut bytes.as_slice()).await.unwrap()
+                {
                     told.push(fresh);
                 }
             }
--- a/crates/control-plane/tests/directory.rs
+++ b/crates/control-plane/tests/directory.rs
@@ -2,7 +2,7 @@
 
 use milletwing_config::Settings;
 use milletwing_control_plane::core::{Core, Writes};
-use milletwing_replicated_state::{Heard, View};
+use milletwing_replicated_state::{EdgeStatus, View};
 
 const SETTINGS: &str =
     "[self]\nnodeName = \"core\"\nipAddress = \"10.0.0.1\"\nzone = \"a\"\nregion = \"north\"\n\
@@ -14,8 +14,8 @@
     "far":{"domain":"g.example","pathPrefix":"/","trafficClass":"idempotent","guardS":5,"targetS":1,"target":"s","maxTries":2}},
     "targets":{"s":{"maxSessions":110}},"thresholds":{}}"#;
 
-fn edge(number: u32, region: &str, ready: bool) -> Heard {
-    Heard {
+fn edge(number: u32, region: &str, ready: bool) -> EdgeStatus {
+    EdgeStatus {
         id: number,
         zone: region.into(),
         region: region.into(),
--- a/crates/drift-detection/src/heal.rs
+++ b/crates/drift-detection/src/repair.rs
@@ -78,14 +78,14 @@
 
 /// The leader's record of all edges.
 #[derive(Debug, Default)]
-pub struct Healer {
+pub struct Repairer {
     edges: BTreeMap<u32, Standing>,
     ended: Option<Time>,
     /// Most have drifted.
     pub alarm: bool,
 }
 
-impl Healer {
+impl Repairer {
     /// What a machine of the core found of an edge that it tells.
     pub fn told(&mut self, now: Time, edge: u32, life: u64, zone: &str, finding: Finding) {
         let drift = finding.drift();
--- a/crates/edge-proxy/src/edge.rs
+++ b/crates/edge-proxy/src/edge.rs
@@ -2,9 +2,9 @@
 
 use crate::metrics::Metrics;
 use crate::pool::{Dial, Pool};
-use milletwing_config::{tell, Settings};
+use milletwing_config::{event, Settings};
 use milletwing_drift_detection::{Digest, Reflection, Step};
-use milletwing_replicated_state::{Heard, View};
+use milletwing_replicated_state::{EdgeStatus, View};
 use milletwing_routing::{Place, Router, Time};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
@@ -93,9 +93,9 @@
     }
 
     /// What the core is told.
-    pub fn heard(&self) -> Heard {
+    pub fn heard(&self) -> EdgeStatus {
         let settings = self.settings.borrow();
-        Heard {
+        EdgeStatus {
             id: settings.id(),
             zone: settings.own.zone.clone(),
             region: settings.own.region.clone(),
@@ -126,8 +126,8 @@
     }
 
     /// Does what the core has decided, to be brought back.
-    pub fn heal(&self, step: Step) {
-        tell!(Heals, "{}", step.word());
+    pub fn repair(&self, step: Step) {
+        event!(Repairs, "{}", step.word());
         match step {
             Step::Back | Step::Rest => {
                 self.resting.set(step == Step::Rest);
@@ -141,7 +141,7 @@
 
     /// The whole view has come anew: all tables are made from it.
     pub fn renew(&self) {
-        tell!(Heals, "{}", Step::Renew.word());
+        event!(Repairs, "{}", Step::Renew.word());
         self.router.borrow_mut().renew(self.now(), &self.view.borrow());
         self.reflected.set(0);
         self.refresh();
@@ -152,7 +152,7 @@
         let was = self.ready();
         let revision = self.view.borrow().revision;
         if self.revision.replace(revision) != revision {
-            tell!(Configured, "revision {revision}");
+            event!(Configured, "revision {revision}");
         }
         self.router.borrow_mut().refresh(self.now(), &self.view.borrow());
         self.pool.forget(|marshal| self.router.borrow().knows(marshal));
--- a/crates/edge-proxy/src/feed.rs
+++ b/crates/edge-proxy/src/feed.rs
@@ -2,10 +2,10 @@
 //! machine that goes silent, or that doesn't hear its leader, is left for another.
 
 use crate::edge::Edge;
-use milletwing_config::tell;
+use milletwing_config::event;
 use milletwing_drift_detection::Names;
 use milletwing_replicated_state::{Command, View};
-use milletwing_wire::{self as wire, frame, place, Down, Greeting, Said, Up};
+use milletwing_wire::{self as wire, frame, place, EdgeReport, FromEdge, Greeting, ToEdge};
 use std::cell::Cell;
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
@@ -21,7 +21,7 @@
 /// Between an edge's beats, and between them while it has something to tell.
 const BEAT: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(250));
 /// Hosts told of in one beat, at most.
-const MOST_FELT: usize = 256;
+const MOST_OBSERVED: usize = 256;
 /// Milliseconds on the way from the edge that was told of a load to this one: half of a beat, of a round among the core's
 /// machines and of a pulse, and the links between.
 const SHARED: u64 = 400;
@@ -50,7 +50,7 @@
         if let Some((id, stream)) = nearest(if some.is_empty() { &all } else { &some }, port).await {
             let (read, write) = stream.into_split();
             let why = listen(&edge, read, write, &mut cores).await;
-            tell!(FeedLost, "{}: {why}", place(id, port));
+            event!(FeedLost, "{}: {why}", place(id, port));
             left.push((id, Instant::now() + Duration::from_secs(2)));
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
@@ -94,23 +94,23 @@
             let changed = tokio::time::timeout(pause, beating.changed.notified()).await.is_ok();
             let now = beating.now();
             let reports = beating.router.borrow_mut().reports(now);
-            let felt = beating.router.borrow_mut().felt(MOST_FELT);
+            let observed = beating.router.borrow_mut().observed(MOST_OBSERVED);
             trials = !reports.is_empty();
             // With nothing to tell, every second one is enough to say that it lives.
             let reflection = beating.reflection.take();
             let sample = beating.router.borrow_mut().sample();
-            let news = !felt.is_empty() || reflection.is_some() || beating.asked.get();
+            let news = !observed.is_empty() || reflection.is_some() || beating.asked.get();
             idle = if changed || trials || news { 0 } else { idle + 1 };
             if idle % 2 == 1 {
                 continue;
             }
             let (edge, index) = (beating.heard(), beating.view.borrow().index);
-            let said = Said { edge, index, reports, felt, reflection, sample };
-            let mut bytes = frame(&Up::Beat(Box::new(said)));
+            let said = EdgeReport { edge, index, reports, observed, reflection, sample };
+            let mut bytes = frame(&FromEdge::Beat(Box::new(said)));
             if beating.asked.replace(false) {
                 let mut names = Names::default();
                 beating.router.borrow().reflect(&mut names);
-                bytes.extend(frame(&Up::Names(names)));
+                bytes.extend(frame(&FromEdge::Names(names)));
             }
             if write.write_all(&bytes).await.is_err() {
                 return;
@@ -123,7 +123,7 @@
         let down = {
             // Guards against taking bytes of the message before for a sign of life: silence would be noticed only the second time.
             came.set(false);
-            let mut reading = std::pin::pin!(wire::read::<Down>(&mut read));
+            let mut reading = std::pin::pin!(wire::read::<ToEdge>(&mut read));
             loop {
                 match tokio::time::timeout(SILENCE, reading.as_mut()).await {
                     Ok(down) => break down.map_err(|problem| problem.to_string()),
@@ -138,11 +138,11 @@
             Err(problem) => break problem,
         };
         match down {
-            Down::Whole(packed) => match View::unpacked(&packed) {
+            ToEdge::Whole(packed) => match View::unpacked(&packed) {
                 Ok(view) => whole(edge, view),
                 Err(problem) => break problem,
             },
-            Down::Renew(packed) => match View::unpacked(&packed) {
+            ToEdge::Renew(packed) => match View::unpacked(&packed) {
                 Ok(view) if view.index >= edge.view.borrow().index => {
                     *edge.view.borrow_mut() = view;
                     edge.renew();
@@ -150,14 +150,14 @@
                 Ok(_) => {} // within its life an edge never goes back
                 Err(problem) => break problem,
             },
-            Down::Heal(step) => edge.heal(step),
-            Down::Names => edge.asked.set(true),
-            Down::Entries(entries) => {
+            ToEdge::Repair(step) => edge.repair(step),
+            ToEdge::Names => edge.asked.set(true),
+            ToEdge::Entries(entries) => {
                 if let Err(problem) = fold(edge, entries) {
                     break problem;
                 }
             }
-            Down::Pulse { fresh: now, index, cores: all, edges, loads } => {
+            ToEdge::Pulse { fresh: now, index, cores: all, edges, loads } => {
                 let behind = index < edge.view.borrow().index;
                 if !behind {
                     // All that edges are told up to there came before on this connection; a leader's first entry, or a change
@@ -169,7 +169,7 @@
                     edge.router.borrow_mut().heard(edge.now());
                     if !said {
                         said = true;
-                        tell!(FeedUp, "as of entry {index}");
+                        event!(FeedUp, "as of entry {index}");
                     }
                 } else if fresh.elapsed() > STALE {
                     break "it does not hear its leader, or lags".into();
--- a/crates/edge-proxy/src/lib.rs
+++ b/crates/edge-proxy/src/lib.rs
@@ -16,7 +16,7 @@
 mod tests;
 
 use crate::edge::Edge;
-use milletwing_config::{tell, Settings};
+use milletwing_config::{event, Settings};
 use milletwing_metrics::Endpoint;
 use milletwing_wire::serve_metrics;
 use std::future::Future;
@@ -54,7 +54,7 @@
     };
     let grace = settings.timers.guarantees.graceS.max(1.0);
     let edge = Edge::new(settings, ingress, pool::tcp());
-    tell!(Started, "edge-proxy {} ingress {ingress}", edge.name);
+    event!(Started, "edge-proxy {} ingress {ingress}", edge.name);
     tokio::task::spawn_local(feed::follow(Rc::clone(&edge)));
     tokio::task::spawn_local(feed::watch(Rc::clone(&edge), path.to_path_buf()));
     tokio::task::spawn_local(probes::run(Rc::clone(&edge)));
@@ -72,7 +72,7 @@
         // The core's last step to bring it back: the platform starts it again.
         _ = edge.end.notified() => {}
     }
-    tell!(Term, "{} connections, {} requests", edge.connections.get(), edge.requests.get());
+    event!(Term, "{} connections, {} requests", edge.connections.get(), edge.requests.get());
     // Out of the directory and readiness at once; who still comes is served, and told to come no more.
     edge.leave();
     let begun = tokio::time::Instant::now();
@@ -92,6 +92,6 @@
     while tokio::time::Instant::now() < at(grace - LAST_S) && edge.connections.get() > 0 {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    tell!(Ended, "{} requests left", edge.requests.get());
+    event!(Ended, "{} requests left", edge.requests.get());
     Ok(())
 }
--- a/crates/edge-proxy/src/relay.rs
+++ b/crates/edge-proxy/src/relay.rs
@@ -13,7 +13,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use milletwing_config::configuration::Class;
-use milletwing_config::{tell, Kind};
+use milletwing_config::{event, Kind};
 use milletwing_routing::table::Route;
 use milletwing_routing::{Load, Result as Ended, Sending, Ticket, Time};
 use std::collections::VecDeque;
@@ -67,7 +67,7 @@
             response
         }
         Err(Refusal { kind, id, route }) => {
-            tell!(RequestEnded, "{id}: {kind}");
+            event!(RequestEnded, "{id}: {kind}");
             edge.metrics.refused(route.as_ref().map(|route| route.class), &kind);
             refused(&edge, &kind, route.as_deref())
         }
@@ -190,10 +190,10 @@
                 edge.metrics.try_ended(result);
                 let avoided = edge.router.borrow_mut().ended(now, &mut ticket, &sending, result, load);
                 if let Some(span) = avoided {
-                    tell!(NodeAvoided, "{} for {span} ms: {result:?}", sending.id);
+                    event!(NodeAvoided, "{} for {span} ms: {result:?}", sending.id);
                 }
                 if result != Ended::Served {
-                    tell!(TryEnded, "{id} at {}: {result:?} after {} ms", sending.id, now - sending.at);
+                    event!(TryEnded, "{id} at {}: {result:?} after {} ms", sending.id, now - sending.at);
                 }
                 let answer = match answer {
                     Some(answer) if result == Ended::Served => return Ok((deliver(edge, answer, &route), route.class)),
--- a/crates/outlier-detection/src/board.rs
+++ b/crates/outlier-detection/src/board.rs
@@ -1,7 +1,7 @@
 //! The newest load of each host. An edge of a large fleet meets a host once in many seconds, so that what it was told itself
 //! is old; all edges together meet every host several times a second.
 
-use crate::{Felt, Time};
+use crate::{Observed, Time};
 use std::collections::BTreeMap;
 
 /// Hosts at most.
@@ -18,16 +18,16 @@
 
 impl Board {
     /// Takes what an edge met, so many milliseconds ago.
-    pub fn take(&mut self, now: Time, felt: &[Felt], ago: Time) {
+    pub fn take(&mut self, now: Time, observed: &[Observed], ago: Time) {
         let at = now.saturating_sub(ago);
-        for felt in felt {
-            let Some(load) = felt.load else { continue };
+        for observed in observed {
+            let Some(load) = observed.load else { continue };
             let room = self.loads.len() < MOST;
-            match self.loads.get_mut(&felt.host) {
+            match self.loads.get_mut(&observed.host) {
                 // Guards against an older word that went a longer way.
                 Some((_, known, _)) if *known > at => {}
                 Some(known) => *known = (load, at, true),
-                None if room => drop(self.loads.insert(felt.host, (load, at, true))),
+                None if room => drop(self.loads.insert(observed.host, (load, at, true))),
                 None => {}
             }
         }
--- a/crates/outlier-detection/src/felt.rs
+++ b/crates/outlier-detection/src/observed.rs
@@ -4,7 +4,7 @@
 
 /// Counts of answers and of ends without one, and the host's last word on its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Felt {
+pub struct Observed {
     /// The host's life, as a number that all make the same way.
     pub host: u32,
     /// Requests there, running and waiting, where it told.
--- a/crates/outlier-detection/src/tally.rs
+++ b/crates/outlier-detection/src/tally.rs
@@ -2,7 +2,7 @@
 //! found it gone, from two zones where edges stand in two, and none may have had an answer from it since. Decisions are the
 //! core's entries; here is what they follow from.
 
-use crate::{Felt, Time};
+use crate::{Observed, Time};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Edges that must have found a host gone.
@@ -75,22 +75,22 @@
 
 impl Tally {
     /// What an edge met, so many milliseconds ago.
-    pub fn take(&mut self, now: Time, edge: u32, zone: &str, felt: &[Felt], ago: Time) {
+    pub fn take(&mut self, now: Time, edge: u32, zone: &str, observed: &[Observed], ago: Time) {
         let at = now.saturating_sub(ago);
         let own = self.edges.entry(edge).or_default();
         own.zone = zone.into();
-        for felt in felt {
-            if self.hosts.len() >= HOSTS && !self.hosts.contains_key(&felt.host) {
+        for observed in observed {
+            if self.hosts.len() >= HOSTS && !self.hosts.contains_key(&observed.host) {
                 continue;
             }
-            let host = self.hosts.entry(felt.host).or_default();
-            if felt.good > 0 {
-                own.good.insert(felt.host, at);
+            let host = self.hosts.entry(observed.host).or_default();
+            if observed.good > 0 {
+                own.good.insert(observed.host, at);
                 host.good = host.good.max(at);
                 host.lost.retain(|_, lost| *lost > at);
-            } else if felt.lost > 0 && at > host.good {
+            } else if observed.lost > 0 && at > host.good {
                 // Guards against a word that comes late: it was answered since.
-                own.lost.insert(felt.host, at);
+                own.lost.insert(observed.host, at);
                 host.lost.insert(edge, at);
             }
         }
--- a/crates/outlier-detection/tests/board.rs
+++ b/crates/outlier-detection/tests/board.rs
@@ -1,6 +1,6 @@
 //! What edges tell each other of loads, judged after the fact.
 
-use milletwing_outlier_detection::{key, Board, Felt};
+use milletwing_outlier_detection::{key, Board, Observed};
 use std::collections::BTreeMap;
 
 /// Words that come by ways of different lengths: the newest that was spoken holds, each is told once, and an old one to
@@ -16,7 +16,7 @@
         // A word on one of 40 hosts, up to 400 ms after it was spoken.
         let host = key(&format!("i-{}", step * 7 % 40));
         let (ago, load) = (step * 131 % 400, (step % 97) as u16);
-        board.take(now, &[Felt { host, load: Some(load), ..Felt::default() }], ago);
+        board.take(now, &[Observed { host, load: Some(load), ..Observed::default() }], ago);
         if spoken.get(&host).is_none_or(|(at, _)| now - ago >= *at) {
             spoken.insert(host, (now - ago, load));
         }
@@ -32,6 +32,6 @@
     }
     assert!(calls > 500, "{calls}");
     // Nobody spoke for a while: what is left is no news.
-    board.take(40_000, &[Felt { host: 1, load: Some(3), ..Felt::default() }], 0);
+    board.take(40_000, &[Observed { host: 1, load: Some(3), ..Observed::default() }], 0);
     assert!(board.news(43_000).is_empty());
 }
--- a/crates/outlier-detection/tests/tally.rs
+++ b/crates/outlier-detection/tests/tally.rs
@@ -1,6 +1,6 @@
 //! Who is taken out, and how hosts come back: many edges and hosts in one process, judged after the fact.
 
-use milletwing_outlier_detection::{Felt, Known, Move, Tally};
+use milletwing_outlier_detection::{Known, Move, Observed, Tally};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
@@ -35,7 +35,7 @@
     fn tick(&mut self, gone: &dyn Fn(u32, u32) -> bool) {
         self.now += 250;
         for edge in 0..self.edges {
-            let mut felt = BTreeMap::new();
+            let mut observed = BTreeMap::new();
             // A look goes first.
             let look =
                 self.looks.iter().find(|(_, looks)| looks.contains(&edge)).map(|(host, _)| *host as usize);
@@ -47,18 +47,19 @@
                 if it.out && !looks {
                     continue;
                 }
-                let felt = felt.entry(it.host).or_insert(Felt { host: it.host, ..Felt::default() });
+                let observed =
+                    observed.entry(it.host).or_insert(Observed { host: it.host, ..Observed::default() });
                 if gone(edge, it.host) {
-                    felt.lost += 1;
+                    observed.lost += 1;
                 } else {
-                    felt.good += 1;
+                    observed.good += 1;
                 }
             }
-            let felt: Vec<Felt> = felt.into_values().collect();
+            let observed: Vec<Observed> = observed.into_values().collect();
             let ago = self.chance.random_range(0..400);
-            self.tally.take(self.now, edge, ZONES[edge as usize % 3], &felt, ago);
+            self.tally.take(self.now, edge, ZONES[edge as usize % 3], &observed, ago);
             if self.chance.random_range(0..4) == 0 {
-                self.tally.take(self.now, edge, ZONES[edge as usize % 3], &felt, ago);
+                self.tally.take(self.now, edge, ZONES[edge as usize % 3], &observed, ago);
                 // told twice
             }
         }
@@ -156,13 +157,13 @@
 fn late_words_do_not_count() {
     let mut tally = Tally::default();
     let known = [Known { host: 1, service: "s".into(), open: true, out: false }];
-    let felt = |good, lost| [Felt { host: 1, good, lost, ..Felt::default() }];
+    let observed = |good, lost| [Observed { host: 1, good, lost, ..Observed::default() }];
     for edge in 0..6 {
-        tally.take(10_000, edge, ZONES[edge as usize % 3], &felt(0, 1), 900);
+        tally.take(10_000, edge, ZONES[edge as usize % 3], &observed(0, 1), 900);
     }
-    tally.take(10_000, 9, "a", &felt(1, 0), 100);
+    tally.take(10_000, 9, "a", &observed(1, 0), 100);
     for edge in 0..6 {
-        tally.take(10_010, edge, ZONES[edge as usize % 3], &felt(0, 1), 500);
+        tally.take(10_010, edge, ZONES[edge as usize % 3], &observed(0, 1), 500);
     }
     assert!(tally.step(10_020, &known).is_empty());
     let who: BTreeSet<u32> = tally.tell(10_020, 1).0.into_iter().collect();
--- a/crates/replicated-state/src/command.rs
+++ b/crates/replicated-state/src/command.rs
@@ -68,7 +68,7 @@
     /// It takes its part again.
     Trust { id: String },
     /// An edge that has drifted, in this life of it, is to be brought back by this step; and why.
-    Heal { edge: u32, life: u64, step: Step, why: String },
+    Repair { edge: u32, life: u64, step: Step, why: String },
 }
 
 impl Command {
--- a/crates/replicated-state/src/lib.rs
+++ b/crates/replicated-state/src/lib.rs
@@ -7,5 +7,5 @@
 pub mod view;
 
 pub use command::{Command, Deal, Node, Phase};
-pub use registry::{Beat, Heard, Registry, Still};
-pub use view::{Emptied, Heal, Outcome, RollOut, State, View};
+pub use registry::{Beat, EdgeHeartbeat, EdgeStatus, Registry};
+pub use view::{Emptied, Outcome, Repair, RollOut, State, View};
--- a/crates/replicated-state/src/registry.rs
+++ b/crates/replicated-state/src/registry.rs
@@ -46,7 +46,7 @@
 
 /// What is heard of an edge.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Heard {
+pub struct EdgeStatus {
     /// Its address as a number.
     pub id: u32,
     /// Its zone.
@@ -63,7 +63,7 @@
 
 /// An edge of which nothing but the time is new.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Still {
+pub struct EdgeHeartbeat {
     /// Its number.
     pub id: u32,
     /// Its life.
@@ -99,7 +99,7 @@
 #[derive(Debug, Default)]
 pub struct Registry {
     lives: BTreeMap<String, Life>,
-    edges: BTreeMap<u32, (Heard, Time)>,
+    edges: BTreeMap<u32, (EdgeStatus, Time)>,
     /// Ids heard since they were told to the others.
     fresh: Vec<String>,
 }
@@ -185,7 +185,7 @@
     }
 
     /// An edge was heard of, so many milliseconds ago.
-    pub fn edge(&mut self, now: Time, heard: Heard, ago: Time) {
+    pub fn edge(&mut self, now: Time, heard: EdgeStatus, ago: Time) {
         let at = now.saturating_sub(ago);
         if self.edges.get(&heard.id).is_none_or(|(_, known)| at >= *known) {
             self.edges.insert(heard.id, (heard, at));
@@ -193,7 +193,7 @@
     }
 
     /// An edge that may be known already was heard of, so many milliseconds ago; another life of it is not the one known.
-    pub fn still(&mut self, now: Time, still: &Still) {
+    pub fn edge_heartbeat(&mut self, now: Time, still: &EdgeHeartbeat) {
         let at = now.saturating_sub(still.ago);
         if let Some((edge, known)) = self.edges.get_mut(&still.id).filter(|(edge, _)| edge.life == still.life)
         {
@@ -205,11 +205,15 @@
 
     /// What the others are told of edges: in whole those of which something is new since `told`, else by number, life and
     /// whether they take traffic. `told` is brought up to date.
-    pub fn gossip(&self, now: Time, told: &mut BTreeMap<u32, Heard>) -> (Vec<(Heard, Time)>, Vec<Still>) {
+    pub fn gossip(
+        &self,
+        now: Time,
+        told: &mut BTreeMap<u32, EdgeStatus>,
+    ) -> (Vec<(EdgeStatus, Time)>, Vec<EdgeHeartbeat>) {
         let (mut whole, mut still) = (Vec::new(), Vec::new());
         for (edge, ago) in self.edges(now).filter(|(_, ago)| *ago < TELL) {
             if told.get(&edge.id) == Some(edge) {
-                still.push(Still { id: edge.id, life: edge.life, ready: edge.ready, ago });
+                still.push(EdgeHeartbeat { id: edge.id, life: edge.life, ready: edge.ready, ago });
             } else {
                 whole.push((edge.clone(), ago));
                 told.insert(edge.id, edge.clone());
@@ -220,12 +224,12 @@
     }
 
     /// All edges with the milliseconds since each was heard.
-    pub fn edges(&self, now: Time) -> impl Iterator<Item = (&Heard, Time)> {
+    pub fn edges(&self, now: Time) -> impl Iterator<Item = (&EdgeStatus, Time)> {
         self.edges.values().map(move |(heard, at)| (heard, now.saturating_sub(*at)))
     }
 
     /// Edges that take traffic and were heard lately.
-    pub fn ready(&self, now: Time) -> Vec<&Heard> {
+    pub fn ready(&self, now: Time) -> Vec<&EdgeStatus> {
         self.edges(now)
             .filter(|(edge, ago)| edge.ready && *ago <= EDGE_SILENT)
             .map(|(edge, _)| edge)
@@ -330,8 +334,8 @@
         let whole = per_s.max(0.0) as u32;
         let ready = self.ready(now);
         let region = ready.iter().find(|edge| edge.zone == zone).map(|edge| edge.region.clone());
-        let rank = |edge: &&&Heard| (edge.zone != zone, Some(&edge.region) != region.as_ref(), edge.id);
-        let mut near: Vec<&&Heard> = ready.iter().collect();
+        let rank = |edge: &&&EdgeStatus| (edge.zone != zone, Some(&edge.region) != region.as_ref(), edge.id);
+        let mut near: Vec<&&EdgeStatus> = ready.iter().collect();
         near.sort_by_key(rank);
         let same = near.iter().filter(|edge| Some(&edge.region) == region.as_ref()).count();
         near.truncate(same.max(1).min(whole as usize));
--- a/crates/replicated-state/src/view.rs
+++ b/crates/replicated-state/src/view.rs
@@ -95,7 +95,7 @@
 
 /// A step to bring an edge back, as it was agreed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Heal {
+pub struct Repair {
     /// Its entry.
     pub index: u64,
     /// The edge.
@@ -141,7 +141,7 @@
     /// Steps to bring edges back, oldest first. Its bytes stand behind the others', so that a state that was written before
     /// there were any is read as one without.
     #[serde(skip)]
-    pub heals: VecDeque<Heal>,
+    pub repairs: VecDeque<Repair>,
     /// Marshals that are taken out as edges find them gone, with the edges that look at them; behind the others as well.
     #[serde(skip)]
     pub suspected: BTreeMap<String, Vec<u32>>,
@@ -153,7 +153,7 @@
     /// Its bytes.
     pub fn bytes(&self) -> Vec<u8> {
         let bytes = postcard::to_stdvec(self).unwrap_or_default(); // plain values can't fail
-        let bytes = postcard::to_extend(&self.heals, bytes).unwrap_or_default();
+        let bytes = postcard::to_extend(&self.repairs, bytes).unwrap_or_default();
         postcard::to_extend(&self.suspected, bytes).unwrap_or_default()
     }
 
@@ -165,8 +165,8 @@
         let wrong = |problem| format!("state: {problem}");
         let (mut view, rest): (View, &[u8]) = postcard::take_from_bytes(bytes).map_err(wrong)?;
         if !rest.is_empty() {
-            let (heals, rest) = postcard::take_from_bytes(rest).map_err(wrong)?;
-            view.heals = heals;
+            let (repairs, rest) = postcard::take_from_bytes(rest).map_err(wrong)?;
+            view.repairs = repairs;
             if !rest.is_empty() {
                 view.suspected = postcard::from_bytes(rest).map_err(wrong)?;
             }
@@ -187,9 +187,9 @@
         let evacuated: usize = self.evacuated.keys().map(|zone| texts(&[zone])).sum();
         let suspected: usize =
             self.suspected.iter().map(|(id, looks)| texts(&[id]) + looks.len() * PART).sum();
-        let heals: usize = self.heals.iter().map(|heal| texts(&[&heal.why])).sum();
+        let repairs: usize = self.repairs.iter().map(|repair| texts(&[&repair.why])).sum();
         let taken = self.taken.len() * ITEM;
-        self.body.len() + taken + nodes + left + settled + rollouts + evacuated + suspected + heals + ITEM
+        self.body.len() + taken + nodes + left + settled + rollouts + evacuated + suspected + repairs + ITEM
     }
 
     /// Whether so many further bytes may be taken into it; the error says how many there would be.
@@ -282,11 +282,11 @@
                 self.suspected.remove(id);
                 Outcome::Done
             }
-            Command::Heal { edge, life, step, why } => {
+            Command::Repair { edge, life, step, why } => {
                 let (edge, life, step) = (*edge, *life, *step);
-                self.heals.push_back(Heal { index, edge, life, step, why: why.clone() });
-                if self.heals.len() > HEALS {
-                    self.heals.pop_front();
+                self.repairs.push_back(Repair { index, edge, life, step, why: why.clone() });
+                if self.repairs.len() > HEALS {
+                    self.repairs.pop_front();
                 }
                 Outcome::Done
             }
@@ -434,8 +434,8 @@
 
     /// Whether an edge rests until it is well again.
     pub fn rests(&self, edge: u32, life: u64) -> bool {
-        let last = self.heals.iter().rev().find(|heal| (heal.edge, heal.life) == (edge, life));
-        last.is_some_and(|heal| matches!(heal.step, Step::Rest | Step::End))
+        let last = self.repairs.iter().rev().find(|repair| (repair.edge, repair.life) == (edge, life));
+        last.is_some_and(|repair| matches!(repair.step, Step::Rest | Step::End))
     }
 
     /// Whether a marshal's version has its service's traffic.
--- a/crates/replicated-state/tests/histories.rs
+++ b/crates/replicated-state/tests/histories.rs
@@ -2,7 +2,9 @@
 
 use milletwing_config::Kind;
 use milletwing_replicated_state::registry::Verdict;
-use milletwing_replicated_state::{Beat, Command, Heard, Node, Outcome, Phase, Registry, State, Still, View};
+use milletwing_replicated_state::{
+    Beat, Command, EdgeHeartbeat, EdgeStatus, Node, Outcome, Phase, Registry, State, View,
+};
 use std::collections::BTreeMap;
 
 fn body(revision: u64, routes: usize) -> Vec<u8> {
@@ -35,8 +37,8 @@
     Beat::read(text.as_bytes()).unwrap()
 }
 
-fn edge(id: u32, zone: &str, region: &str) -> Heard {
-    Heard {
+fn edge(id: u32, zone: &str, region: &str) -> EdgeStatus {
+    EdgeStatus {
         id,
         zone: zone.into(),
         region: region.into(),
@@ -314,8 +316,8 @@
         let now = 10_000 + step * 500;
         life += u64::from(step % 50 == 49);
         let ready = step % 20 < 15;
-        near.edge(now, Heard { ready, life, ..edge(7, "a", "north") }, 0);
-        near.edge(now, Heard { ready: true, ..edge(8, "b", "north") }, 0);
+        near.edge(now, EdgeStatus { ready, life, ..edge(7, "a", "north") }, 0);
+        near.edge(now, EdgeStatus { ready: true, ..edge(8, "b", "north") }, 0);
         let (whole, still) = near.gossip(now, &mut told);
         (wholes, stills) = (wholes + whole.len(), stills + still.len());
         if step % 7 == 3 {
@@ -324,7 +326,7 @@
             continue;
         }
         whole.into_iter().for_each(|(heard, ago)| far.edge(now, heard, ago));
-        still.iter().for_each(|still| far.still(now, still));
+        still.iter().for_each(|it| far.edge_heartbeat(now, it));
         let believed: Vec<(u32, u64)> = far.ready(now).iter().map(|heard| (heard.id, heard.life)).collect();
         let true_now: Vec<(u32, u64)> = near.ready(now).iter().map(|heard| (heard.id, heard.life)).collect();
         assert_eq!(believed, true_now, "step {step}");
@@ -332,7 +334,7 @@
     assert!(stills > 3 * wholes, "{wholes} in whole, {stills} by number");
     // Another life is not kept alive by the earlier one's number.
     let mut registry = Registry::default();
-    registry.edge(1, Heard { life: 2, ..edge(7, "a", "north") }, 0);
-    registry.still(2_000, &Still { id: 7, life: 1, ready: true, ago: 0 });
+    registry.edge(1, EdgeStatus { life: 2, ..edge(7, "a", "north") }, 0);
+    registry.edge_heartbeat(2_000, &EdgeHeartbeat { id: 7, life: 1, ready: true, ago: 0 });
     assert!(registry.ready(2_000).is_empty());
 }
--- a/crates/routing/src/marshal.rs
+++ b/crates/routing/src/marshal.rs
@@ -1,7 +1,7 @@
-//! What an edge knows of one marshal: its place, its load as told and as felt, how fast it is, how often it fails.
+//! What an edge knows of one marshal: its place, its load as told and as observed, how fast it is, how often it fails.
 
 use crate::Time;
-use milletwing_outlier_detection::{key, Felt};
+use milletwing_outlier_detection::{key, Observed};
 use milletwing_replicated_state::{Node, Phase};
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
@@ -58,7 +58,7 @@
     Far,
 }
 
-/// Milliseconds in which half of what was felt of failures fades.
+/// Milliseconds in which half of what was observed of failures fades.
 const FADE: f64 = 4_000.0;
 /// Milliseconds for which a told load is believed; it then fades.
 const TOLD: f64 = 400.0;
@@ -126,10 +126,10 @@
     /// Told, here or to another edge: requests of others there, and when.
     told: (f64, Time),
     /// Its life as a number, by which edges tell each other of it; and what this one met there since it told last.
-    pub felt: Felt,
+    pub observed: Observed,
     /// Mean milliseconds of an answer, 0: unknown.
     pub mean: f64,
-    /// Felt share of failures, and when it was brought up to date.
+    /// Observed share of failures, and when it was brought up to date.
     bad: (f64, Time),
     /// Avoided until then, how often in a row, and whether a first request is out after that.
     avoid: (Time, u32),
@@ -143,12 +143,12 @@
 }
 
 impl Marshal {
-    /// Takes what is agreed of it from one made anew, and keeps what this edge counted and felt: what it has sent to a cold
+    /// Takes what is agreed of it from one made anew, and keeps what this edge counted and observed: what it has sent to a cold
     /// one in the last second still counts.
     pub fn renew(&mut self, fresh: Marshal) {
         let sent = std::mem::take(&mut self.sent);
         let (out, told, mean, bad) = (self.out, self.told, self.mean, self.bad);
-        let (avoid, trying, since, felt) = (self.avoid, self.trying, self.since, self.felt);
+        let (avoid, trying, since, observed) = (self.avoid, self.trying, self.since, self.observed);
         let (answered, unreached, health) = (self.answered, self.unreached, self.health);
         *self = Marshal {
             sent,
@@ -164,13 +164,13 @@
             since,
             ..fresh
         };
-        self.felt = Felt { host: self.felt.host, ..felt };
+        self.observed = Observed { host: self.observed.host, ..observed };
     }
 
     /// What was met there since the last call, if anything.
-    pub fn tell(&mut self) -> Option<Felt> {
-        let fresh = Felt { host: self.felt.host, ..Felt::default() };
-        (self.felt != fresh).then(|| std::mem::replace(&mut self.felt, fresh))
+    pub fn tell(&mut self) -> Option<Observed> {
+        let fresh = Observed { host: self.observed.host, ..Observed::default() };
+        (self.observed != fresh).then(|| std::mem::replace(&mut self.observed, fresh))
     }
 
     /// Part of its capacity that others hold, as told last.
@@ -196,7 +196,7 @@
             health: Health::default(),
             out: 0,
             told: (0.0, 0),
-            felt: Felt { host: key(&node.id), ..Felt::default() },
+            observed: Observed { host: key(&node.id), ..Observed::default() },
             mean: 0.0,
             bad: (0.0, now),
             avoid: (0, 0),
@@ -310,7 +310,7 @@
         mean * (1.0 + queue + 0.25 * (jobs / self.capacity).min(1.0))
     }
 
-    /// Felt share of failures.
+    /// Observed share of failures.
     pub fn failing(&self, now: Time) -> f64 {
         self.bad.0 * (0.5f64).powf(now.saturating_sub(self.bad.1) as f64 / FADE)
     }
@@ -319,7 +319,7 @@
     fn full(&mut self, now: Time) {
         let others = self.told.0.max(FULL * self.capacity);
         self.told = (others, now);
-        self.felt.load = Some((others + f64::from(self.out)) as u16);
+        self.observed.load = Some((others + f64::from(self.out)) as u16);
     }
 
     fn feel(&mut self, now: Time, bad: f64) {
@@ -342,17 +342,17 @@
         if let Some(load) = load {
             let others = f64::from(load.running + load.waiting) - f64::from(self.out) - 1.0;
             self.told = (others.max(0.0), now);
-            self.felt.load = u16::try_from((load.running + load.waiting).saturating_sub(1)).ok();
+            self.observed.load = u16::try_from((load.running + load.waiting).saturating_sub(1)).ok();
         }
         if matches!(result, Result::Served | Result::Failed | Result::TurnedAway) {
             (self.answered, self.unreached) = (now, false);
         }
         self.unreached |= result == Result::Unreached;
-        let felt = &mut self.felt;
+        let observed = &mut self.observed;
         match result {
-            Result::Served | Result::TurnedAway => felt.good = felt.good.saturating_add(1),
-            Result::Failed | Result::Broken => felt.bad = felt.bad.saturating_add(1),
-            Result::Unreached | Result::Silent => felt.lost = felt.lost.saturating_add(1),
+            Result::Served | Result::TurnedAway => observed.good = observed.good.saturating_add(1),
+            Result::Failed | Result::Broken => observed.bad = observed.bad.saturating_add(1),
+            Result::Unreached | Result::Silent => observed.lost = observed.lost.saturating_add(1),
             Result::Moved | Result::Unsent | Result::Dropped => {}
         }
         match result {
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -15,7 +15,7 @@
 use milletwing_config::settings::Guarantees;
 use milletwing_config::{Configuration, Kind};
 use milletwing_drift_detection::{Sample, Sink};
-use milletwing_outlier_detection::Felt;
+use milletwing_outlier_detection::Observed;
 use milletwing_replicated_state::{State, View};
 use milletwing_sequential_test::{Report, LAST};
 use rand::{Rng, SeedableRng};
@@ -131,7 +131,7 @@
 /// What crossing costs for each kilobyte, in parts of a request's worth: between zones, between regions. Ours: links
 /// between regions are dear everywhere, those between zones a little.
 const CROSSING: [f64; 3] = [0.0, 0.002, 0.015];
-/// Milliseconds that crossing takes, until it has been felt.
+/// Milliseconds that crossing takes, until it has been observed.
 const AWAY: [f64; 3] = [0.0, 1.0, 40.0];
 /// Requests at a marshal, as a multiple of what it works on at once, beyond which it is left alone.
 const DEEP: f64 = 3.0;
@@ -232,7 +232,7 @@
         self.build(now, view, false);
     }
 
-    /// Makes all tables anew from what the core has agreed, as if for the first time; what was counted and felt stays.
+    /// Makes all tables anew from what the core has agreed, as if for the first time; what was counted and observed stays.
     pub fn renew(&mut self, now: Time, view: &View) {
         self.of = None;
         self.hosts.clear();
@@ -291,7 +291,7 @@
             self.keys.keys().filter(|id| !view.nodes.contains_key(id.as_str())).cloned().collect();
         for id in gone {
             if let Some(marshal) = self.keys.remove(&id).and_then(|key| self.marshals.remove(&key)) {
-                self.hosts.remove(&marshal.felt.host);
+                self.hosts.remove(&marshal.observed.host);
             }
         }
         let window = (self.bounds.retryWindowS * 1000.0) as Time;
@@ -320,7 +320,7 @@
             if renew {
                 marshal.renew(Marshal::new(node, region, reach, now));
             }
-            self.hosts.insert(marshal.felt.host, key);
+            self.hosts.insert(marshal.observed.host, key);
             marshal.phase(&node.phase, self.place.id);
             (marshal.open, marshal.new) = view.standing(node);
             marshal.look = view.suspected.get(id).is_some_and(|looks| looks.contains(&self.place.id));
@@ -377,7 +377,7 @@
     }
 
     /// What was met at marshals since the last call, of so many at most; the rest comes with the next.
-    pub fn felt(&mut self, most: usize) -> Vec<Felt> {
+    pub fn observed(&mut self, most: usize) -> Vec<Observed> {
         let mut out = Vec::new();
         while let Some(key) = self.met.pop_first() {
             out.extend(self.marshals.get_mut(&key).and_then(Marshal::tell));
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -351,10 +351,10 @@
     let mut ticket = arrive(&mut router, 30_000, "/look/x");
     let sending = router.pick(30_000, &mut ticket).unwrap();
     router.ended(30_020, &mut ticket, &sending, Ended::Served, Some(Load { running: 4, waiting: 2 }));
-    let felt = router.felt(100);
-    let of = felt.iter().find(|felt| felt.host == key(&sending.id)).unwrap();
+    let observed = router.observed(100);
+    let of = observed.iter().find(|observed| observed.host == key(&sending.id)).unwrap();
     assert_eq!((of.good, of.bad, of.lost, of.load), (1, 0, 0, Some(5)), "itself has left");
-    assert!(router.felt(100).is_empty());
+    assert!(router.observed(100).is_empty());
 }
 
 /// Half of the new version's marshals stand in a zone that goes dark, none of the earlier one's: what breaks off there for want
--- a/crates/routing/tests/drift.rs
+++ b/crates/routing/tests/drift.rs
@@ -1,8 +1,8 @@
-//! Edges that route by something else than what was agreed: a core's checker and healer and many edges in one process, whose
+//! Edges that route by something else than what was agreed: a core's checker and repairer and many edges in one process, whose
 //! tables are turned wrong by hand. Judged after the fact: who was named when, and what was done to whom.
 
 use milletwing_config::settings::Guarantees;
-use milletwing_drift_detection::{Checker, Digest, Finding, Healer, Names, Part, Reflection, Step};
+use milletwing_drift_detection::{Checker, Digest, Finding, Names, Part, Reflection, Repairer, Step};
 use milletwing_replicated_state::{Command, Node, Phase, View};
 use milletwing_routing::table::Table;
 use milletwing_routing::{intent, Place, Router, Time};
@@ -57,7 +57,7 @@
     view: View,
     table: Table,
     checker: Checker,
-    healer: Healer,
+    repairer: Repairer,
     edges: BTreeMap<u32, Edge>,
     /// Who was named first when, as what; and every step that was taken.
     named: BTreeMap<u32, (Time, Finding)>,
@@ -73,7 +73,7 @@
             view: View::default(),
             table: Table::default(),
             checker: Checker::new(LAG),
-            healer: Healer::default(),
+            repairer: Repairer::default(),
             edges: BTreeMap::new(),
             named: BTreeMap::new(),
             steps: Vec::new(),
@@ -190,7 +190,7 @@
             let older = self.checker.heard(now, id, edge.view.index, true);
             if let Some(finding) = older {
                 self.named.entry(id).or_insert((now, finding.clone()));
-                self.healer.told(now, id, edge.life, &edge.zone, finding);
+                self.repairer.told(now, id, edge.life, &edge.zone, finding);
             }
             if now < edge.reflected + 1_000 || self.checker.index() != Some(self.view.index) {
                 continue;
@@ -210,11 +210,11 @@
             if finding.drift() {
                 self.named.entry(id).or_insert((now, finding.clone()));
             }
-            self.healer.told(now, id, edge.life, &edge.zone, finding);
+            self.repairer.told(now, id, edge.life, &edge.zone, finding);
         }
         let ready: Vec<(u32, String)> =
             self.edges.iter().filter(|(_, it)| !it.resting).map(|(id, it)| (*id, it.zone.clone())).collect();
-        for order in self.healer.step(now, &ready) {
+        for order in self.repairer.step(now, &ready) {
             self.steps.push((now, order.edge, order.step));
             let edge = self.edges.get_mut(&order.edge).unwrap();
             match order.step {
@@ -390,7 +390,7 @@
     (1..=7).for_each(|id| world.turn(id, 0));
     let before = world.steps.len();
     (0..200).for_each(|_| world.tick(false));
-    assert!(world.healer.alarm);
+    assert!(world.repairer.alarm);
     let later: Vec<_> = world.steps[before..].iter().filter(|(_, _, step)| *step != Step::Again).collect();
     assert!(later.is_empty(), "{later:?}");
 }
--- a/crates/system/src/drift.rs
+++ b/crates/system/src/drift.rs
@@ -17,13 +17,13 @@
     let mut known = read(core, "/milletwing/drift").await?;
     if name == "show" {
         let edge = word("edge");
-        for list in ["edges", "heals"] {
+        for list in ["edges", "repairs"] {
             if let Some(list) = known.get_mut(list).and_then(Value::as_array_mut) {
                 list.retain(|it| it.get("edge").and_then(Value::as_str) == Some(edge));
             }
         }
         if known["edges"].as_array().is_none_or(Vec::is_empty)
-            && known["heals"].as_array().is_none_or(Vec::is_empty)
+            && known["repairs"].as_array().is_none_or(Vec::is_empty)
         {
             return Err(format!("{core}: there is no edge {edge}"));
         }
@@ -42,13 +42,13 @@
         let step = edge["step"].as_str().map_or(String::new(), |step| format!(", step {step}"));
         println!("{} in {}: {}{since}{step}", text(&edge["edge"]), text(&edge["zone"]), text(&edge["state"]));
     }
-    for heal in known["heals"].as_array().into_iter().flatten() {
+    for repair in known["repairs"].as_array().into_iter().flatten() {
         println!(
             "entry {}: {}: {} ({})",
-            heal["entry"],
-            text(&heal["edge"]),
-            text(&heal["step"]),
-            text(&heal["why"])
+            repair["entry"],
+            text(&repair["edge"]),
+            text(&repair["step"]),
+            text(&repair["why"])
         );
     }
     if name == "list" {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,12 +1,12 @@
 //! What the system's processes say to each other over TCP, on the first of the internal ports of a core machine. A
 //! connection begins with a [`Greeting`]; a core machine then sends [`Peer`]s one way, an edge [`Up`]s and gets [`Down`]s.
 
-use milletwing_config::{tell, Settings};
+use milletwing_config::{event, Settings};
 use milletwing_consensus::{Id, Message};
 use milletwing_drift_detection::{Digest, Finding, Names, Reflection, Sample, Step};
 use milletwing_metrics::Endpoint;
-use milletwing_outlier_detection::Felt;
-use milletwing_replicated_state::{Beat, Command, Heard, Still};
+use milletwing_outlier_detection::Observed;
+use milletwing_replicated_state::{Beat, Command, EdgeHeartbeat, EdgeStatus};
 use milletwing_sequential_test::Report;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -26,7 +26,7 @@
     /// A machine of the core.
     Core(Id),
     /// An edge, and the last entry that it has folded.
-    Edge(Heard, u64),
+    Edge(EdgeStatus, u64),
 }
 
 /// Between machines of the core.
@@ -34,10 +34,10 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Peer {
     /// The agreement's.
-    Accord(Message),
+    Consensus(Message),
     /// Marshals and edges heard of, with the milliseconds since; edges in whole where something about them is new, else by
     /// number.
-    Heard { nodes: Vec<String>, edges: Vec<(Heard, u64)>, still: Vec<Still> },
+    Gossip { nodes: Vec<String>, edges: Vec<(EdgeStatus, u64)>, heartbeats: Vec<EdgeHeartbeat> },
     /// To the leader, for one who called here.
     Call { call: CallId, ask: Ask },
     /// The leader's answer.
@@ -51,7 +51,7 @@
     /// The digest of what the entries up to this one make.
     ViewDigest(u64, Digest),
     /// What the edges of this machine met at hosts since it told last, by edge, each with the milliseconds since.
-    Felt(Vec<(u32, u64, Vec<Felt>)>),
+    Observed(Vec<(u32, u64, Vec<Observed>)>),
 }
 
 /// A call among core machines, as its answer names it.
@@ -109,24 +109,24 @@
 
 /// From an edge.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Up {
+pub enum FromEdge {
     /// It lives.
-    Beat(Box<Said>),
+    Beat(Box<EdgeReport>),
     /// What it routes by, thing by thing, as it was asked for.
     Names(Names),
 }
 
 /// What an edge says of itself with a beat.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Said {
+pub struct EdgeReport {
     /// Who it is.
-    pub edge: Heard,
+    pub edge: EdgeStatus,
     /// The last entry that it has folded.
     pub index: u64,
     /// What it sees of the trials under way.
     pub reports: Vec<Report>,
     /// What it met at hosts.
-    pub felt: Vec<Felt>,
+    pub observed: Vec<Observed>,
     /// What it routes by, about once a second.
     pub reflection: Option<Reflection>,
     /// A decision of its own, now and then.
@@ -136,13 +136,13 @@
 /// To an edge.
 #[allow(missing_docs)] // each variant's line says what its fields are
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Down {
+pub enum ToEdge {
     /// The whole state, packed against nothing.
     Whole(Vec<u8>),
     /// The whole state in place of the one it has, to make all tables anew.
     Renew(Vec<u8>),
     /// Another step to bring it back.
-    Heal(Step),
+    Repair(Step),
     /// What does it route by, thing by thing?
     Names,
     /// Entries in order, each with its index.
@@ -180,7 +180,7 @@
 pub async fn serve_metrics(own: Id, endpoint: Endpoint, text: impl Fn() -> String + 'static) {
     match TcpListener::bind(place(own, endpoint.port)).await {
         Ok(listener) => milletwing_metrics::serve(listener, endpoint.path, text).await,
-        Err(problem) => tell!(MetricsUnavailable, "{endpoint}: {problem}"),
+        Err(problem) => event!(MetricsUnavailable, "{endpoint}: {problem}"),
     }
 }
 
@@ -228,10 +228,10 @@
         match text.as_deref().map(Settings::read) {
             Some(Ok(settings)) => {
                 take(settings);
-                tell!(SettingsRead, "{}", path.display());
+                event!(SettingsRead, "{}", path.display());
             }
-            Some(Err(problem)) => tell!(BadSettings, "{}: {problem}; the earlier ones stay", path.display()),
-            None => tell!(BadSettings, "{}: it can't be read; the earlier ones stay", path.display()),
+            Some(Err(problem)) => event!(BadSettings, "{}: {problem}; the earlier ones stay", path.display()),
+            None => event!(BadSettings, "{}: it can't be read; the earlier ones stay", path.display()),
         }
         before = text;
     }
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -5,9 +5,9 @@
 use milletwing_config::{Configuration, Settings};
 use milletwing_consensus::{inspect, Entry, Member, Memory, Message, Options, Payload, Role, Stored};
 use milletwing_drift_detection::{Names, Step};
-use milletwing_outlier_detection::Felt;
-use milletwing_replicated_state::{Beat, Command, Heard, Node, Phase, View};
-use milletwing_wire::{frame, read, Answer, Ask, CallId, Down, Greeting, Peer, Said, Up};
+use milletwing_outlier_detection::Observed;
+use milletwing_replicated_state::{Beat, Command, EdgeStatus, Node, Phase, View};
+use milletwing_wire::{frame, read, Answer, Ask, CallId, EdgeReport, FromEdge, Greeting, Peer, ToEdge};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -81,8 +81,8 @@
     }
 }
 
-fn heard() -> Heard {
-    Heard {
+fn heard() -> EdgeStatus {
+    EdgeStatus {
         id: 9,
         zone: "a".into(),
         region: "north".into(),
@@ -103,7 +103,7 @@
         Command::RollOut { service: "s".into(), revision: "v2".into(), period_ms: 9_000 },
         Command::Settle { service: "s".into(), number: 3, good: false },
         Command::Suspect { id: "i-1".into(), looks: vec![9] },
-        Command::Heal { edge: 9, life: 77, step: Step::Renew, why: "stuck".into() },
+        Command::Repair { edge: 9, life: 77, step: Step::Renew, why: "stuck".into() },
     ]
 }
 
@@ -119,9 +119,9 @@
         vec![entry(2), entry(3), Entry { term: 2, index: 4, payload: Payload::Members(vec![1, 2, 3]) }];
     let data = view().packed();
     vec![
-        Message::Ask { term: 3, early: true, last: (2, 9) },
-        Message::Ask { term: 3, early: false, last: (2, 9) },
-        Message::Lend { term: 1, early: false, granted: true },
+        Message::RequestVote { term: 3, early: true, last: (2, 9) },
+        Message::RequestVote { term: 3, early: false, last: (2, 9) },
+        Message::Vote { term: 1, early: false, granted: true },
         Message::Append { term: 2, before: (1, 1), entries, commit: 3, round: 4 },
         Message::Appended { term: 1, fits: true, matched: 3, round: 4, counts: true },
         Message::Install {
@@ -135,9 +135,15 @@
             round: 5,
         },
         Message::Installed { term: 1, last: (2, 20), have: 10, round: 5, counts: true },
-        Message::Hand { term: 1 },
-        Message::Recall { call: 5 },
-        Message::Recalled { call: 5, term: 2, last: (2, 9), members: vec![1, 2, 3], memory: Memory::Whole },
+        Message::TransferLeadership { term: 1 },
+        Message::QueryState { call: 5 },
+        Message::StateReport {
+            call: 5,
+            term: 2,
+            last: (2, 9),
+            members: vec![1, 2, 3],
+            memory: Memory::Whole,
+        },
     ]
 }
 
@@ -146,11 +152,11 @@
     let call = CallId { life: 7, number: 5 };
     let ask = Ask::Evacuate { order: 1, seen: 2, zone: "a".into(), on: true };
     let beat = Ask::Beat { id: "i-1".into(), beat: Beat::read(BEAT.as_bytes()).unwrap() };
-    let said = Said {
+    let said = EdgeReport {
         edge: heard(),
         index: 3,
         reports: Vec::new(),
-        felt: vec![Felt::default()],
+        observed: vec![Observed::default()],
         reflection: None,
         sample: None,
     };
@@ -160,22 +166,26 @@
         frame(&Peer::Call { call, ask }),
         frame(&Peer::Call { call, ask: beat }),
         frame(&Peer::Reply { call, answer: Answer::Refused(412, "stale".into()) }),
-        frame(&Peer::Heard { nodes: vec!["i-1".into()], edges: vec![(heard(), 40)], still: Vec::new() }),
-        frame(&Peer::Felt(vec![(9, 10, vec![Felt::default()])])),
-        frame(&Up::Names(Names::default())),
-        frame(&Up::Beat(Box::new(said))),
-        frame(&Down::Whole(view().packed())),
-        frame(&Down::Entries(vec![(3, commands()[1].bytes())])),
-        frame(&Down::Pulse { fresh: true, index: 4, cores: vec![1, 2], edges: 9, loads: vec![(4, 5)] }),
+        frame(&Peer::Gossip {
+            nodes: vec!["i-1".into()],
+            edges: vec![(heard(), 40)],
+            heartbeats: Vec::new(),
+        }),
+        frame(&Peer::Observed(vec![(9, 10, vec![Observed::default()])])),
+        frame(&FromEdge::Names(Names::default())),
+        frame(&FromEdge::Beat(Box::new(said))),
+        frame(&ToEdge::Whole(view().packed())),
+        frame(&ToEdge::Entries(vec![(3, commands()[1].bytes())])),
+        frame(&ToEdge::Pulse { fresh: true, index: 4, cores: vec![1, 2], edges: 9, loads: vec![(4, 5)] }),
     ];
-    sound.extend(messages().into_iter().map(|message| frame(&Peer::Accord(message))));
+    sound.extend(messages().into_iter().map(|message| frame(&Peer::Consensus(message))));
     let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
     fuzz("frames", &sound, |bytes| {
         runtime.block_on(async {
             let _ = read::<Greeting>(&mut &bytes[..]).await;
             let _ = read::<Peer>(&mut &bytes[..]).await;
-            let _ = read::<Up>(&mut &bytes[..]).await;
-            let _ = read::<Down>(&mut &bytes[..]).await;
+            let _ = read::<FromEdge>(&mut &bytes[..]).await;
+            let _ = read::<ToEdge>(&mut &bytes[..]).await;
         });
     });
 }
@@ -209,7 +219,7 @@
                 member.tick(now);
                 for early in [true, false] {
                     let term = member.term() + u64::from(early);
-                    member.step(now, 2, Message::Lend { term, early, granted: true });
+                    member.step(now, 2, Message::Vote { term, early, granted: true });
                 }
             }
             for from in [2, 3, 9] {
