--- a/crates/control-plane/tests/detection.rs
+++ b/crates/control-plane/tests/detection.rs
@@ -137,6 +137,94 @@
     }
 }
 
+#[test]
+fn an_edge_that_is_gone_is_named_to_clients_no_longer() {
+    // 1.5 s after it was heard last, at each machine that is in touch; others are told of it twice a second.
+    const BOUND: u64 = 2_500;
+    for seed in 0..SEEDS {
+        run(async move {
+            let (net, leader, follower) = begun(seed).await;
+            let status = |id: u32| EdgeStatus {
+                id,
+                zone: "a".into(),
+                region: "north".into(),
+                ingress: format!("10.2.0.{id}:80").parse().unwrap(),
+                ready: true,
+                life: 1,
+            };
+            let named = |at: u32, id: u32| {
+                let core = net.core(at).unwrap();
+                let core = core.borrow();
+                let told = core.resolve("h.example", "north");
+                told.edges.iter().any(|edge| edge.ip().octets()[3] == id as u8)
+            };
+            let lives = |id: u32| {
+                let core = net.core(leader).unwrap();
+                let core = &mut *core.borrow_mut();
+                let now = core.now();
+                core.registry.edge(now, status(id), 0);
+            };
+            for _ in 0..8 {
+                lives(8);
+                lives(9);
+                sleep(ms(250)).await;
+            }
+            assert!(named(leader, 9) && named(follower, 9), "seed {seed}");
+            // The second goes on to say that it lives; the first is gone.
+            for _ in 0..BOUND / 250 {
+                lives(8);
+                sleep(ms(250)).await;
+            }
+            for at in [leader, follower] {
+                assert!(named(at, 8) && !named(at, 9), "seed {seed}: machine {at}");
+            }
+        });
+    }
+}
+
+#[test]
+fn a_machine_that_is_cut_off_answers_no_read_by_what_it_knew() {
+    for seed in 0..SEEDS {
+        run(async move {
+            let (net, leader, _) = begun(seed).await;
+            let body = |revision: u64| format!(r#"{{"revision":{revision},"routing":{{}},"targets":{{}}}}"#);
+            let old = net.core(leader).unwrap();
+            let first = Core::configure(&old, Some(0), body(1).as_bytes(), ms(900)).await.unwrap();
+            assert!(matches!(first, Answer::Done(_)));
+            net.cut(leader, true);
+            // Until the others have a leader and a newer version, and beyond: the one that led is asked all the time.
+            let newer = net.cores().into_iter().find(|(at, _)| *at != leader).unwrap().1;
+            let mut acknowledged = false;
+            for _ in 0..40 {
+                if !acknowledged {
+                    let taken = Core::configure(&newer, Some(1), body(2).as_bytes(), ms(100)).await;
+                    acknowledged = matches!(taken, Ok(Answer::Done(_)));
+                }
+                let read = Core::read(&old, ms(100)).await;
+                let stale = read.is_ok() && old.borrow().view.revision < 2;
+                assert!(
+                    !(acknowledged && stale),
+                    "seed {seed}: an older version is read after a newer one was acknowledged"
+                );
+            }
+            assert!(acknowledged, "seed {seed}: the others take orders");
+            net.join();
+            let read = until_read(&old).await;
+            assert_eq!(read, 2, "seed {seed}: back in touch it knows");
+        });
+    }
+}
+
+/// The version read at a machine once a read is answered.
+async fn until_read(core: &Shared) -> u64 {
+    for _ in 0..100 {
+        if Core::read(core, ms(900)).await.is_ok() {
+            return core.borrow().view.revision;
+        }
+    }
+    panic!("no read is answered");
+}
+
 #[test]
 fn a_leader_whose_disk_hangs_hands_over() {
     // A write that takes 300 ms hangs; the next look at the clock is 25 ms later at most.
--- a/crates/replicated-state/tests/histories.rs
+++ b/crates/replicated-state/tests/histories.rs
@@ -129,6 +129,32 @@
     assert!(view.nodes.is_empty(), "a late beat brings back what has left");
 }
 
+#[test]
+fn a_marshal_that_says_first_that_it_leaves_is_never_taken_in_by_a_report_that_comes_late() {
+    let up = beat("s", "10.0.0.9:80", "available", 0.0, 1);
+    // It deletes itself, or drains, before the core knows it; and while it is known.
+    for known in [false, true] {
+        for drains in [false, true] {
+            let (mut view, mut registry) = (configured(1), Registry::default());
+            if known {
+                assert!(take(&mut view, &mut registry, 10, "i-1", &up));
+            }
+            let verdict = match drains {
+                true => registry.beat(20, &view, "i-1", &beat("s", "10.0.0.9:80", "draining", 0.0, 2)),
+                false => registry.leave(&view, "i-1"),
+            };
+            let Verdict::Enter(word) = verdict else { panic!("what is acknowledged is an entry") };
+            view.apply(view.index + 1, &word);
+            // Here, and at a leader elected since, that has heard nothing of it.
+            take(&mut view, &mut registry, 30, "i-1", &up);
+            take(&mut view, &mut Registry::default(), 40, "i-1", &up);
+            let open = view.nodes.get("i-1").is_some_and(|node| view.standing(node).0);
+            assert!(!open, "it gets requests again: known before {known}, drains {drains}");
+            assert!(view.knows_that_it_leaves("i-1"));
+        }
+    }
+}
+
 #[test]
 fn another_life_at_an_address_ends_the_earlier_one() {
     let (mut view, mut registry) = (configured(1), Registry::default());
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -403,3 +403,34 @@
         assert_eq!(new.y > 20.0, hangs, "{} bad of {}", new.y, new.n);
     }
 }
+
+#[test]
+fn the_parts_of_a_distribution_get_their_shares() {
+    const REQUESTS: usize = 10_000;
+    for shares in
+        [vec![("s", 90), ("t", 10)], vec![("s", 50), ("t", 30), ("u", 20)], vec![("s", 0), ("t", 1)]]
+    {
+        let parts: Vec<String> =
+            shares.iter().map(|(name, share)| format!(r#"{{"target":"{name}","share":{share}}}"#)).collect();
+        let body = format!(
+            r#"{{"revision":2,"routing":{{"look":{{"domain":"h.example","pathPrefix":"/look/","trafficClass":"idempotent","guardS":5,
+            "targetS":0.3,"distribution":[{}],"maxTries":2}}}},"targets":{{"s":{{}},"t":{{}},"u":{{}}}},"thresholds":{{}}}}"#,
+            parts.join(",")
+        );
+        let mut view = view(4);
+        let command = view.to_configure(2, body.as_bytes()).unwrap();
+        view.apply(view.index + 1, &command);
+        let mut router = edge(1, &view, 1, 1);
+        let mut counts = std::collections::BTreeMap::<String, usize>::new();
+        for _ in 0..REQUESTS {
+            let ticket = arrive(&mut router, 1, "/look/x");
+            *counts.entry(ticket.service.to_string()).or_default() += 1;
+        }
+        let whole: usize = shares.iter().map(|(_, share)| share).sum();
+        for (name, share) in shares {
+            let got = counts.get(name).copied().unwrap_or(0) as f64 / REQUESTS as f64;
+            let wanted = share as f64 / whole as f64;
+            assert!((got - wanted).abs() < 0.02, "{name}: {got} of the requests, {wanted} wanted");
+        }
+    }
+}
