The edge's relay and the router in modules by concern

Change: moves; headers, validation, attempt beside relay, and tables, evidence, pick, outcome under router; relay and pick are cut into steps in their order. Tests untouched; those of both packages pass.

--- a/crates/edge-proxy/src/lib.rs
+++ b/crates/edge-proxy/src/lib.rs
@@ -1,15 +1,18 @@
-//! The program of an edge. `front` takes clients' connections, `watched` is one of them, `relay` a request through `routing`'s decisions to its
-//! answer, `pool` keeps connections to marshals, `probes` asks for their health while the core is out of reach, `body` and `out` what flows through, `feed` follows the core, `metrics` counts. One thread.
+//! The program of an edge. `front` takes clients' connections, `watched` is one of them, `validation` checks a request, `relay` takes it through `routing`'s decisions to its
+//! answer, `attempt` is one sending of it, `headers` the protocol's fields, `pool` keeps connections to marshals, `probes` asks for their health while the core is out of reach, `body` and `out` what flows through, `feed` follows the core, `metrics` counts. One thread.
 
+mod attempt;
 mod body;
 mod edge;
 mod feed;
 mod front;
+mod headers;
 mod metrics;
 mod out;
 mod pool;
 mod probes;
 mod relay;
+mod validation;
 mod watched;
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/routing/src/router/pick.rs
@@ -0,0 +1,201 @@
+//! Which marshal a request is sent to, and when a second one.
+
+use super::{
+    connections, unheard_bound, Router, Sending, Ticket, AWAY, BUDGET_PART, CROSSING, DEEP, HEARD, LONG, STEP,
+};
+use crate::table::Route;
+use crate::trial::{Out, Trial};
+use crate::Time;
+use milletwing_config::Kind;
+use milletwing_sequential_test::LAST;
+use rand::Rng;
+use std::rc::Rc;
+
+impl Router {
+    /// A request came. `remaining`: milliseconds for which the client waits.
+    pub fn arrive(
+        &mut self,
+        now: Time,
+        host: &str,
+        path: &str,
+        remaining: Option<u64>,
+    ) -> Result<Ticket, Kind> {
+        if self.of.is_none() {
+            return Err(Kind::NotReady);
+        }
+        // Guards against a refusal for good by what is known no longer.
+        let none = if self.out_of_touch(now) { Kind::OutOfTouch } else { Kind::NoRoute };
+        let route = self.table.find(host, path).ok_or(none)?;
+        let route = Rc::clone(route);
+        let service = Rc::clone(route.service(self.chance.random()).ok_or(Kind::NoMarshal)?);
+        let mut new = false;
+        if let Some(service) = self.services.get_mut(&service) {
+            service.budget.request(now);
+            if let Some(trial) = &mut service.trial {
+                trial.request(now, route.class);
+                let slack = self.bounds.exposureSlack * 0.5 / (self.edges + 2.0);
+                let heard = now.saturating_sub(self.heard) < HEARD;
+                let draw = self.chance.random();
+                new = trial.heads(now, route.class, draw, self.bounds.exposureShare, slack, heard);
+            }
+        }
+        let hold = remaining.unwrap_or(u64::MAX).min(route.guard);
+        Ok(Ticket {
+            deadline: now + hold,
+            route,
+            service,
+            tried: Vec::new(),
+            sent: 0,
+            missed: 0,
+            ran: false,
+            new,
+        })
+    }
+
+    /// Marshals that one request of this route may be sent to: as the route had it when the request came, or fewer where a
+    /// newer configuration says so.
+    pub(super) fn max_tries(&self, route: &Route) -> u32 {
+        let current = self.of.as_ref().and_then(|of| of.routing.get(&route.name));
+        let current = current.map_or(route.tries, |newer| newer.max_tries.max(1));
+        route.tries.min(current)
+    }
+
+    /// Picks a marshal for a first sending, or for a further one. Errors: the request's time or its tries are used up, no
+    /// marshal may be sent to, or the budget of further tries is spent.
+    pub fn pick(&mut self, now: Time, ticket: &mut Ticket) -> Result<Sending, Kind> {
+        if now >= ticket.deadline {
+            return Err(if ticket.ran { Kind::Silent } else { Kind::Expired });
+        }
+        // The one place that owns the limit: whoever asks for a further sending is refused here, whatever was decided earlier.
+        if ticket.sent >= self.max_tries(&ticket.route) {
+            return Err(if ticket.ran { Kind::Broken } else { Kind::TurnedAway });
+        }
+        let key = self.cheapest(now, ticket)?;
+        if ticket.sent > 0 {
+            self.spend_retry(now, ticket)?;
+        }
+        self.begin(now, ticket, key)
+    }
+
+    /// The marshal at which a request costs least, of two drawn from each reach; of all, where none of those may be sent to.
+    fn cheapest(&mut self, now: Time, ticket: &Ticket) -> Result<u64, Kind> {
+        let out_of_touch = self.out_of_touch(now);
+        let Some(service) = self.services.get(&ticket.service) else { return Err(Kind::NoMarshal) };
+        let repeatable = ticket.route.class.repeatable();
+        let kilobytes = self.weight.get(&ticket.route.name).copied().unwrap_or(4.0);
+        let target = ticket.route.target as f64;
+        // Under pressure room is left for what goes before; never less than what marshals work on at once and as much again.
+        let deep = (DEEP - STEP * f64::from(ticket.route.rank)).max(2.0);
+        let mut best: Option<(f64, u64)> = None;
+        let mut full = false;
+        let marshals = &mut self.marshals;
+        let (usual, others) = (service.usual, service.others);
+        // A further try of a request goes to the version that is known, as long as that has traffic.
+        let last = service.trial.as_ref().is_some_and(|trial| trial.stage >= LAST);
+        let wanted = last || (ticket.new && ticket.sent == 0);
+        let tried = service.trial.is_some();
+        let unheard = self
+            .of
+            .as_ref()
+            .filter(|_| out_of_touch)
+            .map(|of| unheard_bound(of, &ticket.service, &self.bounds, self.edges));
+        let mut weigh = |key: u64, side: Option<bool>, best: &mut Option<(f64, u64)>, full: &mut bool| {
+            let Some(marshal) = marshals.get_mut(&key) else { return };
+            let home = ticket.route.regions.is_empty() || ticket.route.regions.contains(&marshal.region);
+            if side.is_some_and(|side| side != marshal.new)
+                || !home
+                || ticket.tried.contains(&key)
+                || !marshal.takes(now, repeatable, unheard)
+            {
+                return;
+            }
+            if marshal.jobs(now) >= deep * marshal.capacity {
+                *full = true;
+                return;
+            }
+            let reach = marshal.reach as usize;
+            let away = if marshal.mean > 0.0 { 0.0 } else { AWAY[reach] };
+            let late = (marshal.wait(now, usual, others) + away) / target;
+            let cost = late.min(2.0) * late.min(2.0) + marshal.failing(now) + CROSSING[reach] * kilobytes;
+            if best.is_none_or(|(least, _)| cost < least) {
+                *best = Some((cost, key));
+            }
+        };
+        let side = tried.then_some(wanted);
+        if ticket.sent == 0 {
+            // A look is a request that goes there first, so that it is known soon.
+            service.looks.iter().for_each(|key| weigh(*key, side, &mut best, &mut full));
+        }
+        let looks = best.is_some();
+        for reach in service.reach.iter().filter(|_| !looks) {
+            if reach.len() <= 2 {
+                reach.iter().for_each(|key| weigh(*key, side, &mut best, &mut full));
+            } else {
+                let first = self.chance.random_range(0..reach.len());
+                let other = (first + self.chance.random_range(1..reach.len())) % reach.len();
+                weigh(reach[first], side, &mut best, &mut full);
+                weigh(reach[other], side, &mut best, &mut full);
+            }
+        }
+        if best.is_none() {
+            // None of those drawn may be sent to: look at all.
+            service.reach.iter().flatten().for_each(|key| weigh(*key, side, &mut best, &mut full));
+        }
+        if best.is_none() && wanted {
+            // The earlier version serves what the new one can't.
+            service.reach.iter().flatten().for_each(|key| weigh(*key, None, &mut best, &mut full));
+        }
+        let none = if full { Kind::Full } else { Kind::NoMarshal };
+        best.map(|(_, key)| key).ok_or(if ticket.ran { Kind::Broken } else { none })
+    }
+
+    /// Takes a further sending from this edge's part of the budget.
+    fn spend_retry(&mut self, now: Time, ticket: &Ticket) -> Result<(), Kind> {
+        let ratio = self.bounds.retryBudgetRatio * BUDGET_PART;
+        let slack = self.bounds.retrySlack * BUDGET_PART / (self.edges + 2.0);
+        let Some(service) = self.services.get_mut(&ticket.service) else { return Err(Kind::NoMarshal) };
+        if service.budget.take(now, ratio, slack) {
+            return Ok(());
+        }
+        Err(if ticket.ran { Kind::Broken } else { Kind::TurnedAway })
+    }
+
+    /// Counts a sending that goes to this marshal now.
+    fn begin(&mut self, now: Time, ticket: &mut Ticket, key: u64) -> Result<Sending, Kind> {
+        let Some(service) = self.services.get_mut(&ticket.service) else { return Err(Kind::NoMarshal) };
+        let connections = connections(service.connections, self.edges);
+        let Some(marshal) = self.marshals.get_mut(&key) else { return Err(Kind::NoMarshal) };
+        marshal.send(now);
+        self.sendings += 1;
+        let number = self.sendings;
+        if let Some(trial) = &mut service.trial {
+            let class = ticket.route.class;
+            let covariate = trial.covariate(now, class);
+            let scored = Trial::gives(marshal.new, now.saturating_sub(marshal.since));
+            let until = now + ticket.route.target;
+            trial.sent(number, Out { class, new: marshal.new, covariate, scored, until, late: false });
+        }
+        ticket.tried.push(key);
+        ticket.sent += 1;
+        Ok(Sending::to(key, marshal, now, connections, number))
+    }
+
+    /// Milliseconds after which a repeatable request without an answer is sent to a second marshal as well.
+    pub fn patience(&self, ticket: &Ticket, sending: &Sending) -> Option<Time> {
+        if !ticket.route.class.repeatable() || ticket.sent >= self.max_tries(&ticket.route) {
+            return None;
+        }
+        let mean = self.marshals.get(&sending.marshal).map_or(0.0, |marshal| marshal.mean);
+        let usual = self.services.get(&ticket.service).map_or(50.0, |service| service.usual);
+        Some((ticket.route.target as f64 * 0.6).max(4.0 * mean.max(usual)) as Time)
+    }
+
+    /// Milliseconds that a sending may well take: the expected wait many times over, and twice the route's aim at least.
+    pub fn may_take(&self, now: Time, ticket: &Ticket, sending: &Sending) -> Time {
+        let service = self.services.get(&ticket.service);
+        let (usual, others) = service.map_or((50.0, 0.0), |service| (service.usual, service.others));
+        let marshal = self.marshals.get(&sending.marshal);
+        let wait = marshal.map_or(usual, |marshal| marshal.wait(now, usual, others));
+        (2 * ticket.route.target).max((LONG * wait) as Time)
+    }
+}
