--- a/crates/consensus/src/member.rs
+++ b/crates/consensus/src/member.rs
@@ -12,17 +12,22 @@
 
 mod disk;
 mod election;
+mod inspection;
 mod membership;
+mod message;
 mod reads;
 mod recovery;
 mod replication;
 mod snapshots;
 mod validity;
 
+use inspection::hard_state;
+pub use inspection::{inspect, Inspection};
 use membership::Learner;
 pub use membership::Retirement;
+pub use message::{Memory, Message};
 
-use crate::log::{bytes, read, Batch, Entry, Log, Snapshot, Stored};
+use crate::log::{bytes, Batch, Entry, Log, Snapshot, Stored};
 use crate::{Id, Mark, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -50,55 +55,6 @@
     pub seed: u64,
 }
 
-/// What machines of the core say to each other.
-#[allow(missing_docs)] // each variant's line says what its fields are
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Message {
-    /// Would you vote for me in this term? `early`: only a question, nothing is promised.
-    RequestVote { term: u64, early: bool, last: Mark },
-    /// The answer.
-    Vote { term: u64, early: bool, granted: bool },
-    /// A leader's entries, or none; `round` is given back.
-    Append { term: u64, before: Mark, entries: Vec<Entry>, commit: u64, round: u64 },
-    /// What stands on the follower's disk up to `matched`, or where the leader should try next. `counts`: this machine
-    /// may be counted for a majority.
-    Appended { term: u64, fits: bool, matched: u64, round: u64, counts: bool },
-    /// A part of a snapshot in place of entries that the leader has no more: what it stands for, its bytes from `offset` on,
-    /// how many there are in all, and their checksum.
-    Install {
-        term: u64,
-        last: Mark,
-        members: Vec<Id>,
-        offset: u64,
-        part: Vec<u8>,
-        total: u64,
-        sum: u32,
-        round: u64,
-    },
-    /// So much of that snapshot is here: the next part begins there.
-    Installed { term: u64, last: Mark, have: u64, round: u64, counts: bool },
-    /// Stand for election at once: the leader leaves.
-    TransferLeadership { term: u64 },
-    /// What you told this leader is on your disk no more: an earlier state of it has been put back. Take it for lost.
-    DistrustDisk { term: u64 },
-    /// A machine without memory asks what there is. `call` is drawn at its start.
-    QueryState { call: u64 },
-    /// The answer, and how far the one who answers can be relied on.
-    StateReport { call: u64, term: u64, last: Mark, members: Vec<Id>, memory: Memory },
-}
-
-/// How far what a machine holds can be relied on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Memory {
-    /// Everything that it promised.
-    Whole,
-    /// What its disk gave back at its start, or promises that can't be kept right now: the disk may be an earlier state of
-    /// itself, or takes no writes.
-    Unconfirmed,
-    /// Its disk was lost.
-    Lost,
-}
-
 /// How a machine stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -174,49 +130,6 @@
     installing: bool,
 }
 
-/// What a stopped machine's disk holds, for operators.
-#[derive(Clone, Debug, Serialize)]
-pub struct Inspection {
-    /// The term.
-    pub term: u64,
-    /// Whom it voted in that term.
-    pub vote: Option<Id>,
-    /// It lost its disk and does not count yet.
-    pub lost: bool,
-    /// The snapshot.
-    pub snapshot: Mark,
-    /// Who votes, as of the last entry.
-    pub members: Vec<Id>,
-    /// The entries behind the snapshot.
-    pub entries: Vec<Entry>,
-    /// The user's state in the snapshot.
-    #[serde(skip)]
-    pub data: Vec<u8>,
-}
-
-fn hard_state(stored: &Stored) -> Result<Option<Hard>, String> {
-    let hard: Option<Hard> = stored.hard.as_deref().map(|bytes| read("hard state", bytes)).transpose()?;
-    match hard {
-        Some(hard) if !hard.sound() => Err("hard state: a term or an index beyond any real one".into()),
-        sound => Ok(sound),
-    }
-}
-
-/// Reads what a disk holds without taking part. Errors say what doesn't hold together.
-pub fn inspect(stored: &Stored) -> Result<Inspection, String> {
-    let log = Log::load(stored)?;
-    let hard = hard_state(stored)?.unwrap_or_default();
-    Ok(Inspection {
-        term: hard.term,
-        vote: hard.vote,
-        lost: hard.lost,
-        snapshot: log.snapshot.last,
-        members: log.members(),
-        entries: log.from(log.first(), usize::MAX),
-        data: log.snapshot.data,
-    })
-}
-
 /// One machine.
 pub struct Member {
     set: Options,
