--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -1,8 +1,8 @@
 //! What edges decide, judged after the fact over many edges and drawn days.
 
-mod fixture;
+mod common;
 
-use fixture::{arrive, edge, node, view};
+use common::{arrive, edge, node, view};
 use milletwing_config::settings::Guarantees;
 use milletwing_config::Kind;
 use milletwing_outlier_detection::key;
--- a/crates/routing/tests/outage.rs
+++ b/crates/routing/tests/outage.rs
@@ -1,8 +1,8 @@
 //! Edges that have lost the core: what they send to a marshal that turns cold meanwhile, and what they answer.
 
-mod fixture;
+mod common;
 
-use fixture::{arrive, edge, node, view};
+use common::{arrive, edge, node, view};
 use milletwing_config::settings::Guarantees;
 use milletwing_config::Kind;
 use milletwing_replicated_state::{Command, Phase, View};
--- a/crates/routing/tests/tries.rs
+++ b/crates/routing/tests/tries.rs
@@ -1,9 +1,9 @@
 //! The limit on marshals for one request, over drawn histories of first sendings, retries, hedges, ends that take a try
 //! back, and configurations that change the limit while requests are under way.
 
-mod fixture;
+mod common;
 
-use fixture::{arrive, body, edge, view};
+use common::{arrive, body, edge, view};
 use milletwing_replicated_state::View;
 use milletwing_routing::{Result as Ended, Router, Sending, Ticket, Time};
 use rand::seq::IndexedRandom;
--- a/crates/system/tests/place/mod.rs
+++ b/crates/system/tests/cluster/mod.rs
@@ -12,6 +12,8 @@
 use std::time::Duration;
 
 pub const PATIENCE: Duration = Duration::from_secs(60);
+/// The port of every process's metrics.
+pub const METRICS: u16 = 7553;
 pub static NETS: AtomicU32 = AtomicU32::new(0);
 
 pub struct Process {
@@ -61,19 +63,19 @@
 }
 
 /// A system of its own: a loopback net, a folder, three seeds.
-pub struct Place {
+pub struct Cluster {
     pub net: u32,
     pub folder: PathBuf,
 }
 
-impl Place {
-    pub fn new(name: &str) -> Place {
+impl Cluster {
+    pub fn new(name: &str) -> Cluster {
         let at = NETS.fetch_add(1, Ordering::SeqCst);
         let net = 0x7f00_0000 + (std::process::id() % 199 + 1) * 0x1_0000 + (at + 1) * 0x100;
         let folder = std::env::temp_dir().join(format!("system-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
-        Place { net, folder }
+        Cluster { net, folder }
     }
 
     pub fn ip(&self, host: u32) -> Ipv4Addr {
@@ -108,6 +110,7 @@
         std::fs::write(&path, text).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_milletwing-system"))
             .arg(role)
+            .args(["--metrics", &format!("{METRICS}/metrics")])
             .env("MILLETWING_BOOT", &path)
             .env("MILLETWING_LOG", "debug")
             .stdout(Stdio::piped())
@@ -197,7 +200,7 @@
     }
 }
 
-impl Drop for Place {
+impl Drop for Cluster {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.folder);
     }
--- a/crates/system/tests/whole.rs
+++ b/crates/system/tests/whole.rs
@@ -1,9 +1,9 @@
 //! The real programs on loopback: three machines of the core, edges, stand-ins of marshals, an operator. What is waited
 //! for is a numbered event or an answer; nothing sleeps.
 
-mod place;
+mod cluster;
 
-use place::*;
+use cluster::*;
 use std::collections::BTreeMap;
 use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
@@ -11,14 +11,14 @@
 
 #[test]
 fn requests_pass_and_what_is_none_is_told() {
-    let place = Place::new("pass");
-    let _core = place.core();
-    assert_eq!(place.configure(&[1, 2, 3], 0, 3), 200);
-    let (first, runs) = marshal(place.at(100, 0), "i-1");
-    assert_eq!(place.beat(&[2], "i-1", first), 200);
-    let edge = place.start("edge-proxy", 20, true);
+    let cluster = Cluster::new("pass");
+    let _core = cluster.core();
+    assert_eq!(cluster.configure(&[1, 2, 3], 0, 3), 200);
+    let (first, runs) = marshal(cluster.at(100, 0), "i-1");
+    assert_eq!(cluster.beat(&[2], "i-1", first), 200);
+    let edge = cluster.start("edge-proxy", 20, true);
     edge.until("M130");
-    let to = place.at(20, 8548);
+    let to = cluster.at(20, 8548);
     served(to);
     let ask = |text: &str| raw(to, text.as_bytes());
     let (status, head, said) = ask(&request("GET", "/look/a?b=%20c", "id-1", "", "")).unwrap();
@@ -72,16 +72,16 @@
 
 #[test]
 fn what_is_no_whole_answer_never_looks_like_one() {
-    let place = Place::new("answers");
-    let _core = place.core();
-    assert_eq!(place.configure(&[3, 1], 0, 3), 200);
-    let (first, runs) = marshal(place.at(100, 0), "i-1");
-    let (second, more) = marshal(place.at(101, 0), "i-2");
-    assert_eq!(place.beat(&[1], "i-1", first), 200);
-    assert_eq!(place.beat(&[1], "i-2", second), 200);
-    let edge = place.start("edge-proxy", 20, true);
+    let cluster = Cluster::new("answers");
+    let _core = cluster.core();
+    assert_eq!(cluster.configure(&[3, 1], 0, 3), 200);
+    let (first, runs) = marshal(cluster.at(100, 0), "i-1");
+    let (second, more) = marshal(cluster.at(101, 0), "i-2");
+    assert_eq!(cluster.beat(&[1], "i-1", first), 200);
+    assert_eq!(cluster.beat(&[1], "i-2", second), 200);
+    let edge = cluster.start("edge-proxy", 20, true);
     edge.until("M130");
-    let to = place.at(20, 8548);
+    let to = cluster.at(20, 8548);
     served(to);
     let runs_of = |id: &str| {
         [&runs, &more].iter().filter_map(|runs| runs.lock().unwrap().get(id).copied()).sum::<u32>()
@@ -111,57 +111,57 @@
 
 #[test]
 fn the_core_outlives_its_leader_and_a_lost_disk() {
-    let place = Place::new("core");
-    let mut core: BTreeMap<u32, Process> = (1..).zip(place.core()).collect();
-    assert_eq!(place.configure(&[1, 2, 3], 0, 3), 200);
-    assert_eq!(place.configure(&[1, 2, 3], 0, 4), 412, "another version is in place");
-    assert_eq!(place.configure(&[2], 0, 3), 200, "the same again");
+    let cluster = Cluster::new("core");
+    let mut core: BTreeMap<u32, Process> = (1..).zip(cluster.core()).collect();
+    assert_eq!(cluster.configure(&[1, 2, 3], 0, 3), 200);
+    assert_eq!(cluster.configure(&[1, 2, 3], 0, 4), 412, "another version is in cluster");
+    assert_eq!(cluster.configure(&[2], 0, 3), 200, "the same again");
     assert_eq!(
-        place.order(&[1], "PUT", "/milletwing/configuration", "If-Match: 3\r\n", &body(5)[..100]).0,
+        cluster.order(&[1], "PUT", "/milletwing/configuration", "If-Match: 3\r\n", &body(5)[..100]).0,
         400
     );
-    let read = |hosts: &[u32]| place.order(hosts, "GET", "/milletwing/configuration", "", "");
+    let read = |hosts: &[u32]| cluster.order(hosts, "GET", "/milletwing/configuration", "", "");
     assert_eq!(read(&[3]), (200, body(3)));
     // 64 MiB are refused by their announced length, before they are taken; the wrong encoding by the byte.
     let large = "PUT /milletwing/configuration HTTP/1.1\r\nHost: core\r\nIf-Match: 3\r\nContent-Length: 67108864\r\n\r\n{";
-    assert_eq!(raw(place.at(1, 8544), large.as_bytes()).map(|(status, ..)| status), Some(413));
+    assert_eq!(raw(cluster.at(1, 8544), large.as_bytes()).map(|(status, ..)| status), Some(413));
     let wide: Vec<u8> = body(5).encode_utf16().flat_map(u16::to_le_bytes).collect();
     let head = format!(
         "PUT /milletwing/configuration HTTP/1.1\r\nHost: core\r\nIf-Match: 3\r\nContent-Length: {}\r\n\r\n",
         wide.len()
     );
     assert_eq!(
-        raw(place.at(1, 8544), &[head.as_bytes(), &wide].concat()).map(|(status, ..)| status),
+        raw(cluster.at(1, 8544), &[head.as_bytes(), &wide].concat()).map(|(status, ..)| status),
         Some(400)
     );
     assert_eq!(read(&[1]), (200, body(3)));
     // The leader ends at once; whoever is left goes on.
-    let (_, members) = place.order(&[1], "GET", "/milletwing/members", "", "");
+    let (_, members) = cluster.order(&[1], "GET", "/milletwing/members", "", "");
     let leader = (1..=3)
-        .find(|host| members.contains(&format!("\"leader\":\"{}\"", place.ip(*host))))
+        .find(|host| members.contains(&format!("\"leader\":\"{}\"", cluster.ip(*host))))
         .expect("a leader");
     drop(core.remove(&leader));
     let rest: Vec<u32> = core.keys().copied().collect();
-    assert_eq!(place.configure(&rest, 3, 7), 200);
+    assert_eq!(cluster.configure(&rest, 3, 7), 200);
     // It comes back without its disk, and counts only once it has all of it.
-    std::fs::remove_dir_all(place.folder.join(format!("disk{leader}"))).unwrap();
-    let back = place.start("control-plane", leader, false);
+    std::fs::remove_dir_all(cluster.folder.join(format!("disk{leader}"))).unwrap();
+    let back = cluster.start("control-plane", leader, false);
     back.until("M110");
     back.until("M122");
     assert_eq!(read(&[leader]), (200, body(7)));
-    let file = place.folder.join(format!("disk{leader}/core.redb")).display().to_string();
+    let file = cluster.folder.join(format!("disk{leader}/core.redb")).display().to_string();
     drop(back);
-    let said = place.command(&["disk", "check", &file]);
+    let said = cluster.command(&["disk", "check", &file]);
     assert!(said.0 && said.1.contains("revision 7"), "{}", said.1);
-    assert!(place.command(&["disk", "dump", &file]).1.contains("\"revision\": 7"));
-    assert!(!place.command(&["disk", "check", "/nowhere"]).0);
-    let back = place.start("control-plane", leader, false);
+    assert!(cluster.command(&["disk", "dump", &file]).1.contains("\"revision\": 7"));
+    assert!(!cluster.command(&["disk", "check", "/nowhere"]).0);
+    let back = cluster.start("control-plane", leader, false);
     back.until("M121");
     // A file that is none is told by name, and stays beside the new one.
     drop(core.remove(&rest[0]));
-    let file = place.folder.join(format!("disk{}/core.redb", rest[0]));
+    let file = cluster.folder.join(format!("disk{}/core.redb", rest[0]));
     std::fs::write(&file, b"no database").unwrap();
-    let torn = place.start("control-plane", rest[0], false);
+    let torn = cluster.start("control-plane", rest[0], false);
     assert!(torn.until("M110").contains("core.redb"));
     torn.until("M122");
     assert!(file.with_extension("redb.damaged").exists());
@@ -170,67 +170,110 @@
 
 #[test]
 fn an_old_disk_put_back_never_undoes_what_was_acknowledged_since() {
-    let place = Place::new("old");
-    let mut core: BTreeMap<u32, Process> = (1..).zip(place.core()).collect();
-    assert_eq!(place.configure(&[1, 2, 3], 0, 3), 200);
+    let cluster = Cluster::new("old");
+    let mut core: BTreeMap<u32, Process> = (1..).zip(cluster.core()).collect();
+    assert_eq!(cluster.configure(&[1, 2, 3], 0, 3), 200);
     // A copy of a stopped machine's file, as an operator would keep one.
     drop(core.remove(&1));
-    let file = place.folder.join("disk1/core.redb");
-    let copy = place.folder.join("copy.redb");
+    let file = cluster.folder.join("disk1/core.redb");
+    let copy = cluster.folder.join("copy.redb");
     std::fs::copy(&file, &copy).unwrap();
-    let back = place.start("control-plane", 1, false);
+    let back = cluster.start("control-plane", 1, false);
     back.until("M126");
     // What follows is acknowledged by machines 1 and 2 alone.
     drop(core.remove(&3));
-    assert_eq!(place.configure(&[1, 2], 3, 7), 200);
+    assert_eq!(cluster.configure(&[1, 2], 3, 7), 200);
     drop(back);
     drop(core.remove(&2));
     std::fs::copy(&copy, &file).unwrap();
     // The old disk and the machine that knows nothing of it start first.
-    let old = place.start("control-plane", 1, false);
-    let third = place.start("control-plane", 3, false);
-    let second = place.start("control-plane", 2, false);
+    let old = cluster.start("control-plane", 1, false);
+    let third = cluster.start("control-plane", 3, false);
+    let second = cluster.start("control-plane", 2, false);
     assert!(old.until("M127").contains("its log ends at"));
     old.until("M126");
     for host in [3, 1, 2] {
-        assert_eq!(place.order(&[host], "GET", "/milletwing/configuration", "", ""), (200, body(7)));
+        assert_eq!(cluster.order(&[host], "GET", "/milletwing/configuration", "", ""), (200, body(7)));
     }
     drop((old, third, second));
 }
 
 #[test]
 fn a_majority_that_starts_without_the_third_serves() {
-    let place = Place::new("majority");
-    let core = place.core();
-    assert_eq!(place.configure(&[1, 2, 3], 0, 3), 200);
+    let cluster = Cluster::new("majority");
+    let core = cluster.core();
+    assert_eq!(cluster.configure(&[1, 2, 3], 0, 3), 200);
     drop(core);
-    let first = place.start("control-plane", 1, false);
-    let second = place.start("control-plane", 2, false);
+    let first = cluster.start("control-plane", 1, false);
+    let second = cluster.start("control-plane", 2, false);
     // The third is taken for absent.
     first.until("M126");
     second.until("M126");
-    assert_eq!(place.configure(&[1, 2], 3, 4), 200);
-    assert_eq!(place.order(&[2], "GET", "/milletwing/configuration", "", ""), (200, body(4)));
+    assert_eq!(cluster.configure(&[1, 2], 3, 4), 200);
+    assert_eq!(cluster.order(&[2], "GET", "/milletwing/configuration", "", ""), (200, body(4)));
     drop((first, second));
 }
 
+#[test]
+fn each_role_serves_its_metrics_and_goes_on_where_the_port_is_taken() {
+    let cluster = Cluster::new("metrics");
+    // Somebody else has the port on the third machine.
+    let _taken = std::net::TcpListener::bind(cluster.at(3, METRICS)).unwrap();
+    let core = cluster.core();
+    core[2].until("M105");
+    assert_eq!(cluster.configure(&[3], 0, 3), 200);
+    let (first, _) = marshal(cluster.at(100, 0), "i-1");
+    assert_eq!(cluster.beat(&[1], "i-1", first), 200);
+    let edge = cluster.start("edge-proxy", 20, true);
+    edge.until("M130");
+    served(cluster.at(20, 8548));
+    let missing = request("GET", "/nowhere/x", "missing", "", "");
+    assert_eq!(raw(cluster.at(20, 8548), missing.as_bytes()).unwrap().0, 404);
+    let page = |host: u32, path: &str| {
+        let text = format!("GET {path} HTTP/1.1\r\nHost: metrics\r\nConnection: close\r\n\r\n");
+        raw(cluster.at(host, METRICS), text.as_bytes()).unwrap()
+    };
+    let (status, head, edges) = page(20, "/metrics");
+    assert!(status == 200 && head.contains("application/openmetrics-text"), "{head}");
+    for line in [
+        "milletwing_edge_requests_total{class=\"idempotent\",outcome=\"answered_2xx\"} ",
+        "milletwing_edge_requests_total{class=\"unknown\",outcome=\"no_route\"} 1",
+        "milletwing_edge_tries_total{result=\"served\"} ",
+        "milletwing_edge_configuration_revision 3.0",
+        "milletwing_edge_marshals{phase=\"warm\"} 1.0",
+        "milletwing_edge_answer_seconds_count ",
+        "# EOF",
+    ] {
+        assert!(edges.lines().any(|found| found.starts_with(line)), "{line} is not in\n{edges}");
+    }
+    assert_eq!(page(20, "/other").0, 404);
+    let told: Vec<String> = [1, 2].map(|host| page(host, "/metrics").2).into();
+    for line in ["milletwing_control_configuration_revision 3.0", "milletwing_control_start_confirmed 1.0"] {
+        assert!(
+            told.iter().any(|page| page.lines().any(|found| found == line)),
+            "{line} is not in\n{told:?}"
+        );
+    }
+    assert!(told.iter().all(|page| page.contains("milletwing_control_has_leader 1.0")), "{told:?}");
+}
+
 #[test]
 fn an_edge_leaves_in_order_and_operators_have_their_calls() {
-    let place = Place::new("leave");
-    let _core = place.core();
-    let file = place.folder.join("configuration.json");
+    let cluster = Cluster::new("leave");
+    let _core = cluster.core();
+    let file = cluster.folder.join("configuration.json");
     std::fs::write(&file, body(3)).unwrap();
-    let (file, core) = (file.display().to_string(), place.at(2, 8544).to_string());
-    assert!(place.command(&["configuration", "check", &file]).1.contains("2 routes, 1 services"));
+    let (file, core) = (file.display().to_string(), cluster.at(2, 8544).to_string());
+    assert!(cluster.command(&["configuration", "check", &file]).1.contains("2 routes, 1 services"));
     let mut put = (false, String::new());
     for _ in 0..50 {
-        put = place.command(&["configuration", "put", "--core", &core, "--on", "0", &file]);
+        put = cluster.command(&["configuration", "put", "--core", &core, "--on", "0", &file]);
         if put.0 {
             break;
         }
     }
     assert!(put.0, "{}", put.1);
-    let again = place.command(&[
+    let again = cluster.command(&[
         "configuration",
         "put",
         "--core",
@@ -240,49 +283,55 @@
         &file.replace("configuration.json", "none"),
     ]);
     assert!(!again.0 && again.1.contains("none"), "{}", again.1);
-    assert_eq!(place.command(&["configuration", "get", "--core", &core]).1.trim(), body(3));
+    assert_eq!(cluster.command(&["configuration", "get", "--core", &core]).1.trim(), body(3));
+    assert!(
+        cluster.command(&["evacuate", "--core", &core, "a"]).0
+            && cluster.command(&["evacuate", "--core", &core, "a", "--back"]).0
+    );
+    assert!(cluster
+        .command(&["evacuate", "--core", &core, "nowhere"])
+        .1
+        .contains("there is no zone nowhere"));
+    assert!(cluster.command(&["members", "--core", &core]).1.contains("\"folded\""));
+    assert!(cluster.command(&["rollout", "--core", &core, "s", "--to", "v2"]).0);
     assert!(
-        place.command(&["evacuate", "--core", &core, "a"]).0
-            && place.command(&["evacuate", "--core", &core, "a", "--back"]).0
+        cluster.command(&["trial", "--core", &core]).1.contains("\"to\":\"v2\""),
+        "sent on to the leader"
     );
-    assert!(place.command(&["evacuate", "--core", &core, "nowhere"]).1.contains("there is no zone nowhere"));
-    assert!(place.command(&["members", "--core", &core]).1.contains("\"folded\""));
-    assert!(place.command(&["rollout", "--core", &core, "s", "--to", "v2"]).0);
-    assert!(place.command(&["trial", "--core", &core]).1.contains("\"to\":\"v2\""), "sent on to the leader");
     // Settings that are missing or half written end a role at once, with the file's name.
     for role in ["edge-proxy", "control-plane"] {
-        let half = place.folder.join("half.toml").display().to_string();
+        let half = cluster.folder.join("half.toml").display().to_string();
         std::fs::write(&half, "[self]\nnodeName = \"x\"\nipAddr").unwrap();
         for path in ["/nowhere/settings.toml", half.as_str()] {
-            let said = place.command(&[role, "--settings", path]);
+            let said = cluster.command(&[role, "--settings", path]);
             assert!(!said.0 && said.1.contains(path), "{}", said.1);
         }
     }
-    assert!(place.command(&["suspects", "list", "--core", &core]).0);
-    assert!(place
+    assert!(cluster.command(&["suspects", "list", "--core", &core]).0);
+    assert!(cluster
         .command(&["suspects", "show", "--core", &core, "i-none"])
         .1
         .contains("nobody suspects i-none"));
-    assert!(place.command(&["drift", "list", "--core", &core]).1.contains("digests:"));
-    assert!(place
+    assert!(cluster.command(&["drift", "list", "--core", &core]).1.contains("digests:"));
+    assert!(cluster
         .command(&["drift", "show", "--core", &core, "10.9.9.9"])
         .1
         .contains("there is no edge 10.9.9.9"));
-    assert!(place.command(&["drift", "explain", "--core", &core, "nobody"]).1.contains("was not sampled"));
+    assert!(cluster.command(&["drift", "explain", "--core", &core, "nobody"]).1.contains("was not sampled"));
     let deploy = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/system.toml");
-    assert!(place.command(&["check-system", deploy]).0);
+    assert!(cluster.command(&["check-system", deploy]).0);
 
-    let (first, _) = marshal(place.at(100, 0), "i-1");
-    assert_eq!(place.beat(&[1], "i-1", first), 200);
-    let mut edge = place.start("edge-proxy", 20, true);
+    let (first, _) = marshal(cluster.at(100, 0), "i-1");
+    assert_eq!(cluster.beat(&[1], "i-1", first), 200);
+    let mut edge = cluster.start("edge-proxy", 20, true);
     edge.until("M130");
     let ready = || {
-        raw(place.at(20, 8542), b"GET /milletwing/readiness HTTP/1.1\r\nHost: e\r\n\r\n")
+        raw(cluster.at(20, 8542), b"GET /milletwing/readiness HTTP/1.1\r\nHost: e\r\n\r\n")
             .map(|(status, ..)| status)
     };
     assert_eq!(ready(), Some(200));
-    served(place.at(20, 8548));
-    let mut stream = BufReader::new(TcpStream::connect(place.at(20, 8548)).unwrap());
+    served(cluster.at(20, 8548));
+    let mut stream = BufReader::new(TcpStream::connect(cluster.at(20, 8548)).unwrap());
     stream.get_mut().write_all(request("GET", "/look/1", "id-1", "", "").as_bytes()).unwrap();
     assert_eq!(answer(&mut stream).unwrap().0, 200);
     edge.signal("TERM");
@@ -307,19 +356,19 @@
 
 /// False where the edge left before the entry was lost, or before that was found.
 fn lost_entry_is_named_and_mended(turn: u32) -> bool {
-    let place = Place::new(&format!("drift{turn}"));
-    let core = place.core();
-    assert_eq!(place.configure(&[1, 2, 3], 0, 3), 200);
-    let (first, _) = marshal(place.at(100, 0), "i-1");
-    let (second, _) = marshal(place.at(101, 0), "i-2");
-    assert_eq!(place.beat(&[1], "i-1", first), 200);
-    assert_eq!(place.beat(&[1], "i-2", second), 200);
-    let drops = place.between(9, 1);
-    let edge = place.start_by("edge-proxy", 20, true, &[9]);
+    let cluster = Cluster::new(&format!("drift{turn}"));
+    let core = cluster.core();
+    assert_eq!(cluster.configure(&[1, 2, 3], 0, 3), 200);
+    let (first, _) = marshal(cluster.at(100, 0), "i-1");
+    let (second, _) = marshal(cluster.at(101, 0), "i-2");
+    assert_eq!(cluster.beat(&[1], "i-1", first), 200);
+    assert_eq!(cluster.beat(&[1], "i-2", second), 200);
+    let drops = cluster.between(9, 1);
+    let edge = cluster.start_by("edge-proxy", 20, true, &[9]);
     edge.until("M150");
-    served(place.at(20, 8548));
+    served(cluster.at(20, 8548));
     drops.store(1, Ordering::SeqCst);
-    assert_eq!(place.order(&[1], "DELETE", "/milletwing/nodes/i-2", "", "").0, 200);
+    assert_eq!(cluster.order(&[1], "DELETE", "/milletwing/nodes/i-2", "", "").0, 200);
     // Each change is told as it is folded: once the lost one is gone, others pass.
     let left = || edge.lines.try_iter().any(|line| line.contains("M151"));
     while drops.load(Ordering::SeqCst) > 0 {
@@ -328,30 +377,30 @@
         }
         std::thread::yield_now();
     }
-    let (third, _) = marshal(place.at(102, 0), "i-3");
-    assert_eq!(place.beat(&[1], "i-3", third), 200);
+    let (third, _) = marshal(cluster.at(102, 0), "i-3");
+    assert_eq!(cluster.beat(&[1], "i-3", third), 200);
     // Named at the machine that tells it, thing by thing.
     // One that leaves before it is named has been sent what it lacked by another.
     let Some(named) = until_any(&core, "too many", left) else { return false };
     assert!(
-        named.contains("M170") && named.contains(&format!("{}: hosts i-2 is too many", place.ip(20))),
+        named.contains("M170") && named.contains(&format!("{}: hosts i-2 is too many", cluster.ip(20))),
         "{named}"
     );
     edge.until("M171 renew");
     let well =
         |said: &str| said.contains("\"state\":\"well\"") && said.contains("\"step\":\"renew\",\"why\"");
     let mended = (0..20_000).any(|_| {
-        let said = place.command(&[
+        let said = cluster.command(&[
             "drift",
             "show",
             "--json",
             "--core",
-            &place.at(1, 8544).to_string(),
-            &place.ip(20).to_string(),
+            &cluster.at(1, 8544).to_string(),
+            &cluster.ip(20).to_string(),
         ]);
         well(&said.1.replace([' ', '\n'], ""))
     });
     assert!(mended);
-    served(place.at(20, 8548));
+    served(cluster.at(20, 8548));
     true
 }
