A machine that starts goes on with any majority, however few losses are to be borne

Cause: it waited for all but machineLosses members, so that with five members and one loss to be borne a majority of three that starts alone would never count. Change: more than half, itself among them; Mark is LogPosition, Ask is CoreRequest (renames). Result: a test with 3 and 5 members and 0 and 1 losses fails without it; for the users' sites (3 and 1, 5 and 2) the rule is the same.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -15,4 +15,4 @@
 /// Milliseconds of a steady clock that is the driver's.
 pub type Time = u64;
 /// Term, then index, of an entry: compared in this order, the later log is the greater.
-pub type Mark = (u64, u64);
+pub type LogPosition = (u64, u64);
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -1,6 +1,6 @@
 //! The log in memory: a snapshot, and the entries behind it; and the bytes that stand for both on disk.
 
-use crate::{Id, Mark};
+use crate::{Id, LogPosition};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
@@ -70,7 +70,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// The last entry that it holds.
-    pub last: Mark,
+    pub last: LogPosition,
     /// Who voted there.
     pub members: Vec<Id>,
     /// The user's state.
@@ -93,7 +93,7 @@
     /// The state as of some entry, for those who lack what came before it.
     pub snapshot: Snapshot,
     /// The entry before the first one kept.
-    base: Mark,
+    base: LogPosition,
     entries: VecDeque<Entry>,
     /// About how many bytes the entries take.
     bytes: usize,
@@ -123,7 +123,7 @@
     }
 
     /// The last entry's mark.
-    pub fn last(&self) -> Mark {
+    pub fn last(&self) -> LogPosition {
         self.entries.back().map_or(self.base, |entry| (entry.term, entry.index))
     }
 
--- a/crates/consensus/src/member.rs
+++ b/crates/consensus/src/member.rs
@@ -28,7 +28,7 @@
 pub use message::{Memory, Message};
 
 use crate::log::{bytes, Batch, Entry, Log, Snapshot, Stored};
-use crate::{Id, Mark, Time};
+use crate::{Id, LogPosition, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
@@ -76,7 +76,7 @@
     /// Then these.
     pub messages: Vec<(Id, Message)>,
     /// Where the log ends with this batch: to be handed to [`Member::saved`].
-    pub last: Mark,
+    pub last: LogPosition,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -86,7 +86,7 @@
     /// The machine lost its disk and has not caught up.
     lost: bool,
     /// What its log must hold before it counts again.
-    target: Option<Mark>,
+    target: Option<LogPosition>,
     /// A life begun: a disk that holds this is not empty.
     begun: bool,
 }
@@ -95,7 +95,7 @@
 #[derive(Clone, Debug)]
 struct Held {
     term: u64,
-    last: Mark,
+    last: LogPosition,
     members: Vec<Id>,
     memory: Memory,
 }
@@ -107,7 +107,7 @@
     Asking(Time),
     /// They hold more than this machine's disk. Until its log ends here or later it does not stand for election, votes only
     /// for logs that do, and tells nobody that it holds everything.
-    Behind(Mark),
+    Behind(LogPosition),
     /// Its disk holds everything that they told.
     Confirmed,
 }
@@ -125,7 +125,7 @@
     /// The round of the answer by which `matched` was told last.
     told: u64,
     /// The snapshot that it is sent, and how much of it has arrived.
-    snapshot: (Mark, u64),
+    snapshot: (LogPosition, u64),
     /// It was sent a part of a snapshot.
     installing: bool,
 }
@@ -166,7 +166,7 @@
     fresh: Vec<Entry>,
     placed: Option<(Snapshot, u64)>,
     /// A leader's snapshot of which parts have come.
-    coming: Option<(Mark, Vec<u8>)>,
+    coming: Option<(LogPosition, Vec<u8>)>,
     out: Vec<(Id, Message)>,
     /// Machines on their way in, as far as this machine leads.
     learners: BTreeMap<Id, Learner>,
@@ -288,7 +288,7 @@
     }
 
     /// What is committed, and the last entry.
-    pub fn marks(&self) -> (u64, Mark) {
+    pub fn positions(&self) -> (u64, LogPosition) {
         (self.commit, self.log.last())
     }
 
@@ -303,7 +303,7 @@
     }
 
     /// What its log must hold before it counts, where the others told that they hold more than its disk at the start.
-    pub fn behind(&self) -> Option<Mark> {
+    pub fn behind(&self) -> Option<LogPosition> {
         match self.start {
             Start::Behind(most) => Some(most),
             Start::Asking(_) | Start::Confirmed => None,
@@ -490,7 +490,7 @@
     }
 
     /// The work whose log ended at this mark is on the disk.
-    pub fn saved(&mut self, now: Time, last: Mark) {
+    pub fn saved(&mut self, now: Time, last: LogPosition) {
         self.resume(now);
         // Guards against counting what has been replaced since.
         if self.log.term(last.1) == Some(last.0) {
--- a/crates/consensus/src/member/election.rs
+++ b/crates/consensus/src/member/election.rs
@@ -2,7 +2,7 @@
 
 use super::{Member, Message, Progress, Role};
 use crate::log::Payload;
-use crate::{Id, Mark, Time};
+use crate::{Id, LogPosition, Time};
 use rand::Rng;
 use std::collections::BTreeSet;
 
@@ -81,7 +81,14 @@
         }
     }
 
-    pub(super) fn answer_vote_request(&mut self, now: Time, from: Id, term: u64, early: bool, last: Mark) {
+    pub(super) fn answer_vote_request(
+        &mut self,
+        now: Time,
+        from: Id,
+        term: u64,
+        early: bool,
+        last: LogPosition,
+    ) {
         // A leader that still calls is not replaced; a machine that came back must not upset the others.
         let led = self.leader.is_some() && now.saturating_sub(self.heard) < self.set.election;
         let leads = self.role == Role::Leader && self.backed(now, self.set.election);
--- a/crates/consensus/src/member/inspection.rs
+++ b/crates/consensus/src/member/inspection.rs
@@ -2,7 +2,7 @@
 
 use super::Hard;
 use crate::log::{read, Entry, Log, Stored};
-use crate::{Id, Mark};
+use crate::{Id, LogPosition};
 use serde::Serialize;
 
 /// What a stopped machine's disk holds, for operators.
@@ -15,7 +15,7 @@
     /// It lost its disk and does not count yet.
     pub lost: bool,
     /// The snapshot.
-    pub snapshot: Mark,
+    pub snapshot: LogPosition,
     /// Who votes, as of the last entry.
     pub members: Vec<Id>,
     /// The entries behind the snapshot.
--- a/crates/consensus/src/member/message.rs
+++ b/crates/consensus/src/member/message.rs
@@ -1,7 +1,7 @@
 //! What machines of the core say to each other.
 
 use crate::log::Entry;
-use crate::{Id, Mark};
+use crate::{Id, LogPosition};
 use serde::{Deserialize, Serialize};
 
 /// What machines of the core say to each other.
@@ -9,11 +9,11 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// Would you vote for me in this term? `early`: only a question, nothing is promised.
-    RequestVote { term: u64, early: bool, last: Mark },
+    RequestVote { term: u64, early: bool, last: LogPosition },
     /// The answer.
     Vote { term: u64, early: bool, granted: bool },
     /// A leader's entries, or none; `round` is given back.
-    Append { term: u64, before: Mark, entries: Vec<Entry>, commit: u64, round: u64 },
+    Append { term: u64, before: LogPosition, entries: Vec<Entry>, commit: u64, round: u64 },
     /// What stands on the follower's disk up to `matched`, or where the leader should try next. `counts`: this machine
     /// may be counted for a majority.
     Appended { term: u64, fits: bool, matched: u64, round: u64, counts: bool },
@@ -21,7 +21,7 @@
     /// how many there are in all, and their checksum.
     Install {
         term: u64,
-        last: Mark,
+        last: LogPosition,
         members: Vec<Id>,
         offset: u64,
         part: Vec<u8>,
@@ -30,7 +30,7 @@
         round: u64,
     },
     /// So much of that snapshot is here: the next part begins there.
-    Installed { term: u64, last: Mark, have: u64, round: u64, counts: bool },
+    Installed { term: u64, last: LogPosition, have: u64, round: u64, counts: bool },
     /// Stand for election at once: the leader leaves.
     TransferLeadership { term: u64 },
     /// What you told this leader is on your disk no more: an earlier state of it has been put back. Take it for lost.
@@ -38,7 +38,7 @@
     /// A machine without memory asks what there is. `call` is drawn at its start.
     QueryState { call: u64 },
     /// The answer, and how far the one who answers can be relied on.
-    StateReport { call: u64, term: u64, last: Mark, members: Vec<Id>, memory: Memory },
+    StateReport { call: u64, term: u64, last: LogPosition, members: Vec<Id>, memory: Memory },
 }
 
 /// How far what a machine holds can be relied on.
--- a/crates/consensus/src/member/recovery.rs
+++ b/crates/consensus/src/member/recovery.rs
@@ -7,7 +7,7 @@
 //! any majority: at once where all members answer, else once the silent ones are taken for absent.
 
 use super::{Held, Member, Memory, Message, Start};
-use crate::{Id, Mark, Time};
+use crate::{Id, LogPosition, Time};
 use rand::Rng;
 
 /// Half election times after which a member that doesn't answer a machine that starts is taken for absent. Machines that start
@@ -79,7 +79,7 @@
         }
     }
 
-    /// Goes on from its disk once all other members have answered, or all but `losses` while the rest is taken for absent.
+    /// Goes on from its disk once all other members have answered, or a majority with itself while the rest is taken for absent.
     pub(super) fn confirm_start(&mut self, now: Time) {
         let Start::Asking(since) = self.start else { return };
         // The answer that holds most says who votes.
@@ -89,7 +89,8 @@
         let others = || members.iter().filter(|id| **id != self.set.id);
         let all = others().all(|id| self.answers.contains_key(id));
         let remember = |id: &&Id| self.answers.get(id).is_some_and(|held| held.memory != Memory::Lost);
-        let enough = others().filter(remember).count() + 1 + self.set.losses >= members.len();
+        // A majority goes on, whatever losses are to be borne: it could lead without the rest.
+        let enough = (others().filter(remember).count() + 1) * 2 > members.len();
         let absent = now >= since + ABSENT * self.set.election / 2;
         let may_go_on = all || (enough && absent);
         if !may_go_on {
@@ -113,7 +114,7 @@
     }
 
     /// Whether this machine may vote for a candidate whose log ends here.
-    pub(super) fn may_vote_for(&self, last: Mark) -> bool {
+    pub(super) fn may_vote_for(&self, last: LogPosition) -> bool {
         // Guards against electing one that lacks what this machine's disk held before an earlier state of it was put back.
         let holds = self.behind().is_none_or(|most| last >= most);
         self.counts() && holds && last >= self.log.last()
@@ -146,7 +147,7 @@
         }
     }
 
-    pub(super) fn begin(&mut self, now: Time, term: u64, target: Mark) {
+    pub(super) fn begin(&mut self, now: Time, term: u64, target: LogPosition) {
         self.hard.term = self.hard.term.max(term);
         // Guards against a second vote in a term in which this machine may have lent one: none is lent in it.
         self.hard.vote = Some(0);
--- a/crates/consensus/src/member/replication.rs
+++ b/crates/consensus/src/member/replication.rs
@@ -2,11 +2,11 @@
 
 use super::{Member, Message, Role, MOST_BYTES};
 use crate::log::{Entry, Payload, Snapshot};
-use crate::{Id, Mark, Time};
+use crate::{Id, LogPosition, Time};
 
 impl Member {
     /// The leader takes an entry. Gives its index and term, or nothing where this machine doesn't lead.
-    pub fn propose(&mut self, now: Time, data: Vec<u8>) -> Option<Mark> {
+    pub fn propose(&mut self, now: Time, data: Vec<u8>) -> Option<LogPosition> {
         (self.role == Role::Leader).then(|| {
             let mark = self.push(Payload::Data(data));
             self.spread(now);
@@ -14,7 +14,7 @@
         })
     }
 
-    pub(super) fn push(&mut self, payload: Payload) -> Mark {
+    pub(super) fn push(&mut self, payload: Payload) -> LogPosition {
         let entry = Entry { term: self.hard.term, index: self.log.last().1 + 1, payload };
         let mark = (entry.term, entry.index);
         self.fresh.push(entry.clone());
@@ -95,7 +95,14 @@
         true
     }
 
-    pub(super) fn take(&mut self, from: Id, before: Mark, entries: Vec<Entry>, commit: u64, round: u64) {
+    pub(super) fn take(
+        &mut self,
+        from: Id,
+        before: LogPosition,
+        entries: Vec<Entry>,
+        commit: u64,
+        round: u64,
+    ) {
         let term = self.hard.term;
         let fits = before.1 < self.log.first() - 1 || self.log.term(before.1) == Some(before.0);
         if !fits {
--- a/crates/consensus/src/member/snapshots.rs
+++ b/crates/consensus/src/member/snapshots.rs
@@ -2,7 +2,7 @@
 
 use super::{Member, Message, Progress, Role};
 use crate::log::Snapshot;
-use crate::{Id, Mark, Time};
+use crate::{Id, LogPosition, Time};
 
 /// A snapshot that a follower is being sent is kept until so many times the usual entries stand behind it: replaced sooner, each
 /// transfer would begin anew, and one that is far behind would never catch up.
@@ -13,7 +13,7 @@
     pub(super) fn install(
         &mut self,
         from: Id,
-        (last, members): (Mark, Vec<Id>),
+        (last, members): (LogPosition, Vec<Id>),
         (offset, part, total, sum): (u64, Vec<u8>, u64, u32),
         round: u64,
     ) {
@@ -56,7 +56,15 @@
     }
 
     /// A part of a snapshot has arrived: the next one goes.
-    pub(super) fn arrived(&mut self, now: Time, from: Id, last: Mark, have: u64, round: u64, counts: bool) {
+    pub(super) fn arrived(
+        &mut self,
+        now: Time,
+        from: Id,
+        last: LogPosition,
+        have: u64,
+        round: u64,
+        counts: bool,
+    ) {
         let Some(peer) = self.peers.get_mut(&from) else { return };
         (peer.heard, peer.counts) = (now, counts);
         peer.round = peer.round.max(round);
--- a/crates/consensus/src/member/validity.rs
+++ b/crates/consensus/src/member/validity.rs
@@ -3,7 +3,7 @@
 
 use super::{Hard, Message};
 use crate::log::{Entry, Snapshot};
-use crate::Mark;
+use crate::LogPosition;
 
 /// Beyond any term, index or size that is ever reached: sums of two stay far from the end of their type.
 const MOST: u64 = 1 << 48;
@@ -12,7 +12,7 @@
     numbers.iter().all(|number| *number <= MOST)
 }
 
-fn real_mark(mark: &Mark) -> bool {
+fn real_position(mark: &LogPosition) -> bool {
     real(&[mark.0, mark.1])
 }
 
@@ -26,23 +26,23 @@
     /// Whether a machine that works can have meant this.
     pub(super) fn sound(&self) -> bool {
         match self {
-            Message::RequestVote { term, last, .. } => real(&[*term]) && real_mark(last),
+            Message::RequestVote { term, last, .. } => real(&[*term]) && real_position(last),
             Message::Vote { term, .. }
             | Message::TransferLeadership { term }
             | Message::DistrustDisk { term } => real(&[*term]),
             Message::Append { term, before, entries, commit, round } => {
-                real(&[*term, *commit, *round]) && real_mark(before) && follow(before.1, entries, *term)
+                real(&[*term, *commit, *round]) && real_position(before) && follow(before.1, entries, *term)
             }
             Message::Appended { term, matched, round, .. } => real(&[*term, *matched, *round]),
             Message::Install { term, last, offset, total, round, part, .. } => {
                 let fits = real(&[*offset, *total]) && offset + part.len() as u64 <= *total;
-                real(&[*term, *round]) && real_mark(last) && fits
+                real(&[*term, *round]) && real_position(last) && fits
             }
             Message::Installed { term, last, have, round, .. } => {
-                real(&[*term, *have, *round]) && real_mark(last)
+                real(&[*term, *have, *round]) && real_position(last)
             }
             Message::QueryState { .. } => true,
-            Message::StateReport { term, last, .. } => real(&[*term]) && real_mark(last),
+            Message::StateReport { term, last, .. } => real(&[*term]) && real_position(last),
         }
     }
 }
@@ -50,14 +50,14 @@
 impl Hard {
     /// The same of what a disk gives back.
     pub(super) fn sound(&self) -> bool {
-        real(&[self.term]) && self.target.as_ref().is_none_or(real_mark)
+        real(&[self.term]) && self.target.as_ref().is_none_or(real_position)
     }
 }
 
 impl Snapshot {
     /// The same.
     pub(crate) fn sound(&self) -> bool {
-        real_mark(&self.last)
+        real_position(&self.last)
     }
 }
 
--- a/crates/consensus/tests/catch_up.rs
+++ b/crates/consensus/tests/catch_up.rs
@@ -45,7 +45,7 @@
                 world.kill(away, false, 50);
             }
             let newest = world.acked.keys().last().copied().unwrap_or(0);
-            let holds = |member: &Member| !member.lost() && member.marks().0 + 60 >= newest;
+            let holds = |member: &Member| !member.lost() && member.positions().0 + 60 >= newest;
             caught_up = round > 8 && world.machines[&away].member.as_ref().is_some_and(holds);
             if caught_up {
                 break;
@@ -97,7 +97,7 @@
             snapshots += 1;
             settle(&mut member);
         }
-        let held = member.marks().1 .1 - member.first();
+        let held = member.positions().1 .1 - member.first();
         assert!(held * 50_000 <= 2 * LARGEST as u64, "{held} entries are kept");
     }
     assert!((10..60).contains(&snapshots), "{snapshots} snapshots of 20 MB of entries");
@@ -126,6 +126,6 @@
             round: 2,
         },
     );
-    assert_eq!(member.marks(), (5, (1, 9)), "entries that it had acknowledged are gone");
+    assert_eq!(member.positions(), (5, (1, 9)), "entries that it had acknowledged are gone");
     assert_eq!(member.role(), Role::Follower);
 }
--- a/crates/consensus/tests/lines.rs
+++ b/crates/consensus/tests/lines.rs
@@ -80,17 +80,17 @@
     settle(&mut member, now);
     member.propose(now, b"x".to_vec());
     let Work { last, .. } = member.work().unwrap();
-    let before = member.marks().0;
+    let before = member.positions().0;
     // No other has it: one copy on disk is no majority, nor is the one that is not down yet with none.
     member.saved(now, last);
-    assert_eq!(member.marks().0, before);
+    assert_eq!(member.positions().0, before);
     member.propose(now, b"y".to_vec());
     let work = member.work().unwrap();
     let index = work.last.1;
     member.step(now, 2, appended(&member, index, true));
-    assert!(member.marks().0 < index, "committed by one copy on disk and one that is not down yet");
+    assert!(member.positions().0 < index, "committed by one copy on disk and one that is not down yet");
     member.saved(now, work.last);
-    assert_eq!(member.marks().0, index);
+    assert_eq!(member.positions().0, index);
 }
 
 #[test]
@@ -103,11 +103,11 @@
     member.step(now, 2, appended(&member, work.last.1, true));
     member.step(now, 2, appended(&member, 0, false));
     member.saved(now, work.last);
-    assert!(member.marks().0 < work.last.1, "committed by a copy that is lost");
+    assert!(member.positions().0 < work.last.1, "committed by a copy that is lost");
     member.step(now, 2, appended(&member, work.last.1, false));
-    assert!(member.marks().0 < work.last.1, "committed by a machine that does not count yet");
+    assert!(member.positions().0 < work.last.1, "committed by a machine that does not count yet");
     member.step(now, 3, appended(&member, work.last.1, true));
-    assert_eq!(member.marks().0, work.last.1);
+    assert_eq!(member.positions().0, work.last.1);
 }
 
 #[test]
@@ -130,9 +130,9 @@
     }
     settle(&mut first, now);
     first.step(now, 2, appended(&first, 2, true));
-    assert_eq!(first.marks().0, 1, "an earlier term's entry is committed by count");
+    assert_eq!(first.positions().0, 1, "an earlier term's entry is committed by count");
     first.step(now, 2, appended(&first, 3, true));
-    assert_eq!(first.marks().0, 3);
+    assert_eq!(first.positions().0, 3);
 }
 
 fn part(offset: u64, bytes: &[u8], total: u64, sum: u32) -> Message {
@@ -164,7 +164,7 @@
             out.iter().find_map(
                 |(_, it)| if let Message::Installed { have, .. } = it { Some(*have) } else { None },
             ),
-            member.marks().0,
+            member.positions().0,
         )
     };
     assert_eq!(said(part(0, b"abc", 6, sum)), (Some(3), 0));
@@ -288,7 +288,7 @@
     // It follows in memory, and says that it doesn't count.
     let term = member.term();
     let entry = Entry { term, index: 3, payload: Payload::Data(vec![1]) };
-    let (before, last) = (member.marks().1, entry.index);
+    let (before, last) = (member.positions().1, entry.index);
     assert_eq!(before.1, 2);
     let message = Message::Append { term, before, entries: vec![entry], commit: last, round: 7 };
     member.step(now + 50_000, 2, message);
@@ -354,7 +354,7 @@
     }
     let told = answer(&member, 20, true, 8);
     member.step(now, 2, told);
-    assert_eq!(member.marks().0, 8);
+    assert_eq!(member.positions().0, 8);
     settle(&mut member, now);
     // A refusal that was held up says nothing: it is older than what was told.
     let late = answer(&member, 19, false, 3);
@@ -367,12 +367,12 @@
     // What it says now counts no more: with the third machine silent nothing is committed.
     member.propose(now, vec![9]);
     settle(&mut member, now);
-    assert_eq!(member.marks().0, 8);
+    assert_eq!(member.positions().0, 8);
 
     // The machine itself asks all others but one, and lends no vote before that.
     let mut back = founder(2);
     settle(&mut back, 0);
-    let before = back.marks().1;
+    let before = back.positions().1;
     back.step(0, 1, Message::Append { term, before, entries: Vec::new(), commit: 0, round: 21 });
     settle(&mut back, 0);
     back.step(0, 1, Message::DistrustDisk { term });
--- a/crates/consensus/tests/put_back.rs
+++ b/crates/consensus/tests/put_back.rs
@@ -131,6 +131,21 @@
     }
 }
 
+#[test]
+fn a_majority_serves_however_few_losses_are_to_be_borne() {
+    for (count, losses) in [(3, 0), (5, 0), (5, 1)] {
+        let ids: Vec<Id> = (1..=count).collect();
+        for (seed, order) in orders(&ids).iter().enumerate().step_by(7) {
+            let mut world = begun(seed as u64, count);
+            world.losses = losses;
+            restart(&mut world, &[], &order[..count as usize / 2 + 1]);
+            let led = until(&mut world, 6_000, |world| world.leader().is_some());
+            assert!(led, "{count} machines, {losses} losses, order {order:?}");
+            acknowledge(&mut world, 1);
+        }
+    }
+}
+
 #[test]
 fn an_old_disk_counts_for_nothing_under_a_leader_elected_since() {
     for seed in 0..60 {
--- a/crates/consensus/tests/replacement.rs
+++ b/crates/consensus/tests/replacement.rs
@@ -116,8 +116,8 @@
             let Some(leader) = leader.into_iter().find(|it| it.role() == Role::Leader) else { continue };
             if leader.members().contains(&newest) && !joined {
                 joined = true;
-                let (commit, _) = leader.marks();
-                let holds = world.machines[&newest].member.as_ref().map_or(0, |it| it.marks().1 .1);
+                let (commit, _) = leader.positions();
+                let holds = world.machines[&newest].member.as_ref().map_or(0, |it| it.positions().1 .1);
                 // At most what was proposed within an election time is on its way.
                 assert!(holds + 20 >= commit, "seed {seed}: it votes with {holds} of {commit} entries");
             }
--- a/crates/consensus/tests/simulation/mod.rs
+++ b/crates/consensus/tests/simulation/mod.rs
@@ -337,10 +337,10 @@
         }
         // It counts among the losses until every machine that is left knows that it is out for good: that is committed.
         if self.joined() {
-            let last = |it: &Machine| it.member.as_ref().map_or(0, |it| it.marks().1 .1);
+            let last = |it: &Machine| it.member.as_ref().map_or(0, |it| it.positions().1 .1);
             let end = self.machines.values().map(last).max().unwrap_or(0);
             let out = *self.out_by.get_or_insert(end);
-            let knows = |it: &Machine| it.member.as_ref().is_some_and(|it| it.marks().0 >= out);
+            let knows = |it: &Machine| it.member.as_ref().is_some_and(|it| it.positions().0 >= out);
             if self.machines.values().all(knows) {
                 (self.gone, self.out_by) = (None, None);
             }
@@ -368,7 +368,7 @@
             leader.hand_over(clock);
             return false;
         }
-        let committed = leader.marks().0;
+        let committed = leader.positions().0;
         match leader.retire(clock, old) {
             Some(Retirement::MayStop) => true,
             Some(Retirement::Leaves(index)) => committed >= index,
@@ -471,7 +471,8 @@
         }
         for (id, machine) in &world.machines {
             let member = machine.member.as_ref();
-            let said = member.map(|it| (it.role(), it.term(), it.lost(), it.members().to_vec(), it.marks()));
+            let said =
+                member.map(|it| (it.role(), it.term(), it.lost(), it.members().to_vec(), it.positions()));
             if std::env::var("CONSENSUS_SEED").is_ok() {
                 println!("{id}: {said:?}");
             }
--- a/crates/control-plane/src/core.rs
+++ b/crates/control-plane/src/core.rs
@@ -16,7 +16,7 @@
 use crate::metrics::Metrics;
 use membership::Margin;
 use milletwing_config::{event, Settings};
-use milletwing_consensus::{Id, Mark, Member, Message, Options, Role};
+use milletwing_consensus::{Id, LogPosition, Member, Message, Options, Role};
 use milletwing_drift_detection::Finding;
 use milletwing_outlier_detection::{Board, Observed, Tally};
 use milletwing_replicated_state::{EdgeStatus, Registry, View};
@@ -81,7 +81,7 @@
 /// A batch that is being written.
 struct Out {
     /// Where the log ends with it.
-    last: Mark,
+    last: LogPosition,
     /// What may leave once it is on the disk.
     messages: Vec<(Id, Message)>,
     /// When it was handed out.
@@ -150,7 +150,7 @@
     lost: bool,
     /// Its start is confirmed, as it was told; and up to where its log lacked entries when that was told.
     confirmed: bool,
-    behind: Option<Mark>,
+    behind: Option<LogPosition>,
     members: Vec<Id>,
     /// Trials under way, as this machine judges them while it leads.
     trials: BTreeMap<u64, Judged>,
@@ -268,7 +268,7 @@
         let core = &mut *shared.borrow_mut();
         loop {
             core.fold();
-            core.look();
+            core.note_changes();
             for (to, message) in core.member.unbound() {
                 core.post(to, &Peer::Consensus(message));
             }
@@ -334,7 +334,7 @@
     }
 
     /// Notices what changed about this machine's place.
-    fn look(&mut self) {
+    fn note_changes(&mut self) {
         let now = self.now();
         let (role, leader) = (self.member.role(), self.member.leader());
         if role == Role::Leader && self.role != Role::Leader {
--- a/crates/control-plane/src/core/membership.rs
+++ b/crates/control-plane/src/core/membership.rs
@@ -5,7 +5,7 @@
 use milletwing_consensus::Id;
 use milletwing_consensus::Retirement;
 use milletwing_replicated_state::registry::Verdict;
-use milletwing_wire::{Answer, Ask};
+use milletwing_wire::{Answer, CoreRequest};
 use std::time::Duration;
 use tokio::sync::oneshot;
 
@@ -27,7 +27,7 @@
     pub(super) fn note_start(&mut self) {
         let behind = self.member.behind();
         if let Some((term, index)) = behind.filter(|_| self.behind != behind) {
-            let (_, last) = self.member.marks();
+            let (_, last) = self.member.positions();
             event!(
                 DiskBehind,
                 "its log ends at {} of term {}, others' at {index} of term {term}",
@@ -38,7 +38,7 @@
         self.behind = behind;
         let confirmed = self.member.confirmed();
         if confirmed && !self.confirmed && !self.member.lost() {
-            event!(StartConfirmed, "as of entry {}", self.member.marks().1 .1);
+            event!(StartConfirmed, "as of entry {}", self.member.positions().1 .1);
         }
         self.confirmed = confirmed;
     }
@@ -84,7 +84,8 @@
         };
         Core::pump(shared);
         let asks = async {
-            while !matches!(Core::order(shared, Ask::Retire { id }, ASKS * 4).await, Answer::Done(_)) {
+            while !matches!(Core::order(shared, CoreRequest::Retire { id }, ASKS * 4).await, Answer::Done(_))
+            {
                 tokio::time::sleep(ASKS).await;
             }
         };
--- a/crates/control-plane/src/core/orders.rs
+++ b/crates/control-plane/src/core/orders.rs
@@ -2,11 +2,11 @@
 
 use super::{Core, Shared, Time};
 use milletwing_config::{event, Configuration, Kind};
-use milletwing_consensus::{Mark, Role};
+use milletwing_consensus::{LogPosition, Role};
 use milletwing_replicated_state::registry::Verdict;
 use milletwing_replicated_state::view::digest;
 use milletwing_replicated_state::{Beat, Command, State, View};
-use milletwing_wire::{Answer, Ask, Peer};
+use milletwing_wire::{Answer, CoreRequest, Peer};
 use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -28,16 +28,16 @@
 
 /// Evacuations that this machine has entered while it led, so that one passed on twice is one order.
 #[derive(Default)]
-pub(super) struct Orders(VecDeque<(u64, Mark)>);
+pub(super) struct Orders(VecDeque<(u64, LogPosition)>);
 
 impl Orders {
     /// Where an order was entered.
-    fn entered(&self, order: u64) -> Option<Mark> {
+    fn entered(&self, order: u64) -> Option<LogPosition> {
         self.0.iter().find(|(known, _)| *known == order).map(|(_, mark)| *mark)
     }
 
     /// An order was entered here.
-    fn note(&mut self, order: u64, mark: Mark) {
+    fn note(&mut self, order: u64, mark: LogPosition) {
         self.0.push_back((order, mark));
         if self.0.len() > MOST_ORDERS {
             self.0.pop_front();
@@ -111,11 +111,11 @@
     }
 
     /// Decides an order, where this machine leads and knows everything that was committed before.
-    pub(super) async fn lead(shared: &Shared, ask: Ask) -> Answer {
+    pub(super) async fn lead(shared: &Shared, ask: CoreRequest) -> Answer {
         let wait = {
             let core = &mut *shared.borrow_mut();
             // Guards against a new leader that acknowledges by what it has not folded yet. A read waits for that by itself.
-            if core.member.role() != Role::Leader || (ask != Ask::Read && !core.member.current()) {
+            if core.member.role() != Role::Leader || (ask != CoreRequest::Read && !core.member.current()) {
                 return Answer::NotTaken;
             }
             core.decide(ask)
@@ -128,39 +128,41 @@
     }
 
     /// What becomes of an order comes out of what is given back; nothing where it can't be taken.
-    fn decide(&mut self, ask: Ask) -> Option<oneshot::Receiver<Answer>> {
+    fn decide(&mut self, ask: CoreRequest) -> Option<oneshot::Receiver<Answer>> {
         let now = self.now();
         match ask {
-            Ask::Beat { id, beat } => {
+            CoreRequest::Beat { id, beat } => {
                 let verdict = self.registry.beat(now, &self.view, &id, &beat);
                 self.verdict(verdict)
             }
-            Ask::Leave { id } => {
+            CoreRequest::Leave { id } => {
                 let verdict = self.registry.leave(&self.view, &id);
                 self.verdict(verdict)
             }
-            Ask::Configure(command) => self.enter(&command),
-            Ask::RollOut { service, revision, .. } if self.just_reverted(now, &service, &revision) => {
+            CoreRequest::Configure(command) => self.enter(&command),
+            CoreRequest::RollOut { service, revision, .. }
+                if self.just_reverted(now, &service, &revision) =>
+            {
                 self.verdict(Verdict::Known)
             }
-            Ask::RollOut { seen, service, revision, period_ms } => {
+            CoreRequest::RollOut { seen, service, revision, period_ms } => {
                 let rolling = self.view.rollouts.get(&service);
                 let same = rolling.is_some_and(|roll| roll.to == revision && roll.state == State::Active);
                 if !same && self.changed.service_after(&service, seen) {
                     return Some(at_once(Answer::Outdated));
                 }
-                self.changed.propose_service(&service, self.member.marks().1 .1 + 1);
+                self.changed.propose_service(&service, self.member.positions().1 .1 + 1);
                 self.enter(&Command::RollOut { service, revision, period_ms })
             }
-            Ask::Evacuate { order, seen, zone, on } => self.evacuate(now, (order, seen), zone, on),
-            Ask::Read => {
+            CoreRequest::Evacuate { order, seen, zone, on } => self.evacuate(now, (order, seen), zone, on),
+            CoreRequest::Read => {
                 self.next += 1;
                 let token = self.next;
                 let (send, wait) = oneshot::channel();
                 self.reads.insert(token, send);
                 self.member.read(now, token).then_some(wait)
             }
-            Ask::Retire { id } => self.retire(now, id),
+            CoreRequest::Retire { id } => self.retire(now, id),
         }
     }
 
@@ -272,7 +274,7 @@
 
     /// Has an order decided, here or by the leader, for as long as its caller waits. [`Answer::NotTaken`] is certain: nobody was
     /// there to take it.
-    pub async fn order(shared: &Shared, ask: Ask, within: Duration) -> Answer {
+    pub async fn order(shared: &Shared, ask: CoreRequest, within: Duration) -> Answer {
         let taken = Cell::new(false);
         let whole = async {
             loop {
@@ -301,7 +303,7 @@
     }
 
     /// Passes an order on to the leader. `taken` is set while the leader may have it.
-    async fn pass_on(shared: &Shared, ask: Ask, taken: &Cell<bool>) -> Answer {
+    async fn pass_on(shared: &Shared, ask: CoreRequest, taken: &Cell<bool>) -> Answer {
         let wait = {
             let core = &mut *shared.borrow_mut();
             let Some(leader) = core.leader.filter(|leader| *leader != core.settings.id()) else {
@@ -335,7 +337,7 @@
         };
         match known {
             Some(index) => Answer::Done(index),
-            None => Core::order(shared, Ask::Beat { id, beat }, within).await,
+            None => Core::order(shared, CoreRequest::Beat { id, beat }, within).await,
         }
     }
 
@@ -370,7 +372,7 @@
             };
             let left = end.saturating_duration_since(Instant::now());
             match command {
-                Some(command) => return Ok(Core::order(shared, Ask::Configure(command), left).await),
+                Some(command) => return Ok(Core::order(shared, CoreRequest::Configure(command), left).await),
                 None => drop(Core::read(shared, left).await?),
             }
         }
@@ -381,7 +383,7 @@
     /// changes nothing.
     pub async fn evacuation(shared: &Shared, zone: &str, on: bool, within: Duration) -> Answer {
         let order = shared.borrow_mut().draw();
-        let ask = |seen| Ask::Evacuate { order, seen, zone: zone.into(), on };
+        let ask = |seen| CoreRequest::Evacuate { order, seen, zone: zone.into(), on };
         Core::fenced(shared, ask, within).await
     }
 
@@ -405,14 +407,14 @@
         }
         let ask = |seen| {
             let (service, revision) = (service.clone(), revision.clone());
-            Ask::RollOut { seen, service, revision, period_ms }
+            CoreRequest::RollOut { seen, service, revision, period_ms }
         };
         Ok(Core::fenced(shared, ask, end.saturating_duration_since(Instant::now())).await)
     }
 
     /// An order that is void once a later one stands. A machine may lag behind what its caller has already been told: then it asks how
     /// far the log was, as long as its call has just come.
-    async fn fenced(shared: &Shared, ask: impl Fn(u64) -> Ask, within: Duration) -> Answer {
+    async fn fenced(shared: &Shared, ask: impl Fn(u64) -> CoreRequest, within: Duration) -> Answer {
         let (begun, end) = (Instant::now(), Instant::now() + within);
         let seen = shared.borrow().view.index;
         let answer = Core::order(shared, ask(seen), within).await;
@@ -429,7 +431,7 @@
     /// Waits until everything acknowledged before this moment is folded here. Gives the last entry of it.
     pub async fn read(shared: &Shared, within: Duration) -> Result<u64, Kind> {
         let end = Instant::now() + within;
-        let Answer::Done(index) = Core::order(shared, Ask::Read, within).await else {
+        let Answer::Done(index) = Core::order(shared, CoreRequest::Read, within).await else {
             return Err(Kind::NoLeader); // reads change nothing
         };
         while shared.borrow().view.index < index {
--- a/crates/control-plane/src/front.rs
+++ b/crates/control-plane/src/front.rs
@@ -12,7 +12,7 @@
 use milletwing_config::Kind;
 use milletwing_replicated_state::view::MOST_BODY;
 use milletwing_replicated_state::Beat;
-use milletwing_wire::{Answer, Ask};
+use milletwing_wire::{Answer, CoreRequest};
 use serde::Deserialize;
 use serde_json::json;
 use std::cell::Cell;
@@ -218,7 +218,7 @@
 }
 
 async fn leave(core: &Shared, id: &str) -> Result<Reply, Kind> {
-    Ok(ended(Core::order(core, Ask::Leave { id: id.into() }, WITHIN).await))
+    Ok(ended(Core::order(core, CoreRequest::Leave { id: id.into() }, WITHIN).await))
 }
 
 fn nodes(core: &Shared) -> Reply {
@@ -322,7 +322,7 @@
     let core = core.borrow();
     let now = core.now();
     let name = |id: u32| std::net::Ipv4Addr::from_bits(id).to_string();
-    let (commit, last) = core.member.marks();
+    let (commit, last) = core.member.positions();
     let peers = core.member.peers().map(|(id, heard, matched, counts)| {
         json!({"address": name(id), "silentMs": now.saturating_sub(heard), "holds": matched, "counts": counts})
     });
--- a/crates/control-plane/src/metrics.rs
+++ b/crates/control-plane/src/metrics.rs
@@ -97,7 +97,7 @@
 fn consensus(page: &mut Page, core: &Core, now: u64) {
     let member = &core.member;
     let flag = |set: bool| f64::from(u8::from(set));
-    let (commit, last) = member.marks();
+    let (commit, last) = member.positions();
     page.gauge("term", "Term of the consensus", member.term() as f64);
     page.gauge("commit_index", "Last entry that is committed", commit as f64);
     page.gauge("last_index", "Last entry of the log", last.1 as f64);
--- a/crates/control-plane/tests/control/callers.rs
+++ b/crates/control-plane/tests/control/callers.rs
@@ -7,7 +7,7 @@
 use milletwing_control_plane::core::Core;
 use milletwing_replicated_state::view::digest;
 use milletwing_replicated_state::{Beat, Command, EdgeStatus, Phase, View};
-use milletwing_wire::{self as wire, Answer, Ask, ToEdge};
+use milletwing_wire::{self as wire, Answer, CoreRequest, ToEdge};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -93,7 +93,7 @@
         outcome(Core::configure(&core, Some(expected), &body(version), WITHIN).await)
     }
 
-    async fn ask(self: Rc<Self>, at: u32, ask: Ask) -> Outcome {
+    async fn ask(self: Rc<Self>, at: u32, ask: CoreRequest) -> Outcome {
         let Some(core) = self.net.core(at) else { return Outcome::Unknown };
         outcome(Ok(Core::order(&core, ask, WITHIN).await))
     }
@@ -203,7 +203,7 @@
                 self.left.borrow_mut().push(name.clone());
             }
             sleep(ms(1_000)).await;
-            let ask = Ask::Leave { id: name.clone() };
+            let ask = CoreRequest::Leave { id: name.clone() };
             if self.insist(move |callers: Rc<Self>, at| callers.ask(at, ask.clone())).await
                 == Outcome::Acknowledged
             {
--- a/crates/control-plane/tests/power_loss.rs
+++ b/crates/control-plane/tests/power_loss.rs
@@ -9,7 +9,7 @@
 use milletwing_consensus::Role;
 use milletwing_control_plane::core::{Core, Shared};
 use milletwing_replicated_state::{Beat, State, View};
-use milletwing_wire::{Answer, Ask};
+use milletwing_wire::{Answer, CoreRequest};
 use std::future::Future;
 use tokio::time::sleep;
 
@@ -53,7 +53,7 @@
             Told::Evacuation => Core::evacuation(core, "b", true, within).await,
             Told::TakenBack => Core::evacuation(core, "b", false, within).await,
             Told::Drain => Core::beat(core, "i-1".into(), marshal("draining", 9), within).await,
-            Told::Left => Core::order(core, Ask::Leave { id: "i-1".into() }, within).await,
+            Told::Left => Core::order(core, CoreRequest::Leave { id: "i-1".into() }, within).await,
         }
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -39,7 +39,7 @@
     /// number.
     Gossip { nodes: Vec<String>, edges: Vec<(EdgeStatus, u64)>, heartbeats: Vec<EdgeHeartbeat> },
     /// To the leader, for one who called here.
-    Call { call: CallId, ask: Ask },
+    Call { call: CallId, ask: CoreRequest },
     /// The leader's answer.
     Reply { call: CallId, answer: Answer },
     /// One that isn't a member would be.
@@ -66,7 +66,7 @@
 /// What a member passes on to the leader.
 #[allow(missing_docs)] // each variant's line says what its fields are
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Ask {
+pub enum CoreRequest {
     /// A beat that changes something.
     Beat { id: String, beat: Beat },
     /// A marshal's leave.
--- a/crates/wire/tests/fuzz.rs
+++ b/crates/wire/tests/fuzz.rs
@@ -7,7 +7,9 @@
 use milletwing_drift_detection::{Names, Step};
 use milletwing_outlier_detection::Observed;
 use milletwing_replicated_state::{Beat, Command, EdgeStatus, Node, Phase, View};
-use milletwing_wire::{frame, read, Answer, Ask, CallId, EdgeReport, FromEdge, Greeting, Peer, ToEdge};
+use milletwing_wire::{
+    frame, read, Answer, CallId, CoreRequest, EdgeReport, FromEdge, Greeting, Peer, ToEdge,
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -150,8 +152,8 @@
 #[test]
 fn frames_among_machines() {
     let call = CallId { life: 7, number: 5 };
-    let ask = Ask::Evacuate { order: 1, seen: 2, zone: "a".into(), on: true };
-    let beat = Ask::Beat { id: "i-1".into(), beat: Beat::read(BEAT.as_bytes()).unwrap() };
+    let ask = CoreRequest::Evacuate { order: 1, seen: 2, zone: "a".into(), on: true };
+    let beat = CoreRequest::Beat { id: "i-1".into(), beat: Beat::read(BEAT.as_bytes()).unwrap() };
     let said = EdgeReport {
         edge: heard(),
         index: 3,
