Counters and pages of metrics in modules of their own, so that imports run one way

Cause: the page reads the edge, the edge holds the counters, and both stood in one file: a circle that the test of layers found. Change: pure moves into metrics_page.rs in both roles.

--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -10,6 +10,7 @@
 mod front;
 mod links;
 mod metrics;
+mod metrics_page;
 
 pub use front::ROUTES;
 
@@ -68,7 +69,7 @@
     }
     if let Some(endpoint) = endpoint {
         let (core, open) = (Rc::clone(&core), Rc::clone(&open));
-        let text = move || metrics::page(&core.borrow(), &open);
+        let text = move || metrics_page::page(&core.borrow(), &open);
         tokio::task::spawn_local(serve_metrics(settings.id(), endpoint, text));
     }
     leave.await;
--- a/crates/edge-proxy/src/lib.rs
+++ b/crates/edge-proxy/src/lib.rs
@@ -8,6 +8,7 @@
 mod front;
 mod headers;
 mod metrics;
+mod metrics_page;
 mod out;
 mod pool;
 mod probes;
@@ -64,7 +65,7 @@
     if let Some(endpoint) = endpoint {
         let edge = Rc::clone(&edge);
         let own = edge.settings.borrow().id();
-        tokio::task::spawn_local(serve_metrics(own, endpoint, move || metrics::page(&edge)));
+        tokio::task::spawn_local(serve_metrics(own, endpoint, move || metrics_page::page(&edge)));
     }
     let accepting = tokio::task::spawn_local(front::serve(Rc::clone(&edge), listener));
     if let Some(readiness) = readiness {
--- a/crates/edge-proxy/src/metrics.rs
+++ b/crates/edge-proxy/src/metrics.rs
@@ -1,10 +1,8 @@
-//! What an edge counts, and the page made of it (`docs/metrics.md`).
+//! What an edge counts (`docs/metrics.md`).
 
-use crate::edge::Edge;
 use milletwing_config::configuration::Class;
 use milletwing_config::Kind;
-use milletwing_metrics::{exponential_buckets, Histogram, Labels, Page};
-use milletwing_replicated_state::Phase;
+use milletwing_metrics::{exponential_buckets, Histogram};
 use milletwing_routing::Result as TryResult;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -16,9 +14,9 @@
 
 /// Counters of an edge since its process began.
 pub struct Metrics {
-    requests: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
-    tries: RefCell<BTreeMap<&'static str, u64>>,
-    durations: Histogram,
+    pub requests: RefCell<BTreeMap<(&'static str, &'static str), u64>>,
+    pub tries: RefCell<BTreeMap<&'static str, u64>>,
+    pub durations: Histogram,
 }
 
 impl Default for Metrics {
@@ -97,47 +95,3 @@
         TryResult::Dropped => "dropped",
     }
 }
-
-/// The page of this moment.
-pub fn page(edge: &Edge) -> String {
-    let mut page = Page::new("milletwing_edge");
-    let metrics = &edge.metrics;
-    let requests = metrics.requests.borrow();
-    let label = |class: &&'static str, outcome: &&'static str| -> Labels {
-        vec![("class", (*class).to_owned()), ("outcome", (*outcome).to_owned())]
-    };
-    page.counters(
-        "requests",
-        "Requests of clients by class of their route and outcome",
-        requests.iter().map(|((class, outcome), count)| (label(class, outcome), *count)),
-    );
-    let tries = metrics.tries.borrow();
-    page.counters(
-        "tries",
-        "Sendings to marshals by how they ended",
-        tries.iter().map(|(result, count)| (vec![("result", (*result).to_owned())], *count)),
-    );
-    page.seconds("answer", "From a request's head to the head of its marshal's answer", &metrics.durations);
-    page.gauge("client_connections", "Open connections of clients", edge.connections.get() as f64);
-    page.gauge("requests_under_way", "Requests that have no whole answer yet", edge.requests.get() as f64);
-    page.gauge("ready", "1 while clients should come", f64::from(u8::from(edge.ready())));
-    let view = edge.view.borrow();
-    page.gauge("configuration_revision", "Version of the configuration in force", view.revision as f64);
-    page.gauge("folded_index", "Last entry of the core's log that is in force", view.index as f64);
-    let since = edge.router.borrow().silence_of_core(edge.now());
-    page.gauge("core_silence_seconds", "Since the core was heard last", since as f64 / 1_000.0);
-    let mut phases = BTreeMap::from([("warm", 0_u64), ("cold", 0), ("draining", 0), ("ejected", 0)]);
-    for node in view.nodes.values() {
-        let phase = match node.phase {
-            _ if view.suspected.contains_key(&node.id) => "ejected",
-            Phase::Warm => "warm",
-            Phase::Cold(_) => "cold",
-            Phase::Draining => "draining",
-        };
-        *phases.entry(phase).or_default() += 1;
-    }
-    let phases = phases.into_iter().map(|(phase, count)| (vec![("phase", phase.to_owned())], count as f64));
-    page.gauges("marshals", "Marshals that are known, by phase", phases);
-    page.resident_memory();
-    page.text()
-}
