Sight: what each configuration changes, which are refused early, which fields are passed over

A configuration refused before it was agreed left no line, M130 told a number only, and tables that the reader does not know (subscribers) went by unseen. Ruled out: writing bodies to the log (keys of tenants stand in them). Change: M130 names routes and fields that changed, with both values, bounded; M131 also for what the first machine refuses; M134 names fields passed over. No decision changes.

--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -3,7 +3,10 @@
 use crate::kind::Kind;
 use prost::Message;
 use serde::Deserialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Fields of the protocol that have one value at present, so that nothing is read from them.
+const FIXED: [&str; 2] = ["targets.*.protocol", "targets.*.tls"];
 
 /// A whole configuration.
 #[derive(Clone, PartialEq, Message, Deserialize)]
@@ -125,6 +128,25 @@
         Ok(configuration)
     }
 
+    /// Fields that the bytes hold and that are passed over here, each once, names of routes and services as `*`. Errors: the
+    /// bytes can't be read.
+    pub fn passed_over(bytes: &[u8]) -> Result<BTreeSet<String>, Kind> {
+        let mut found = BTreeSet::new();
+        let mut note = |path: serde_ignored::Path<'_>| {
+            let mut steps: Vec<String> = path.to_string().split('.').map(str::to_owned).collect();
+            // Second comes the name of an entry of a table.
+            if let Some(name) = steps.get_mut(1) {
+                *name = "*".into();
+            }
+            found.insert(steps.join("."));
+        };
+        let mut reader = serde_json::Deserializer::from_slice(bytes);
+        let read: Result<Configuration, _> = serde_ignored::deserialize(&mut reader, &mut note);
+        read.map_err(|problem| Kind::Unreadable(problem.to_string()))?;
+        found.retain(|field| !FIXED.contains(&field.as_str()));
+        Ok(found)
+    }
+
     /// What the protocol calls invalid, as far as one configuration tells.
     pub fn check(&self) -> Result<(), Kind> {
         for (name, route) in &self.routing {
--- a/crates/config/tests/reading.rs
+++ b/crates/config/tests/reading.rs
@@ -1,7 +1,7 @@
 //! What operators and the platform hand in: read whole, or refused with a reason that names the place.
 
 use expect_test::expect;
-use milletwing_config::{Configuration, Event, Kind, Settings};
+use milletwing_config::{Configuration, Difference, Event, Kind, Settings};
 
 const SETTINGS: &str = r#"
 [self]
@@ -139,3 +139,32 @@
         .collect();
     assert_eq!(told, known);
 }
+
+/// The line of the log names what changed, with the values, and stays short however much did.
+#[test]
+fn a_difference_names_what_changed() {
+    let before = Configuration::read(CONFIGURATION.as_bytes()).unwrap();
+    let text = CONFIGURATION.replace("\"guardS\":5", "\"guardS\":4").replace("\"share\":10", "\"share\":0");
+    let after = Configuration::read(text.as_bytes()).unwrap();
+    expect!["1 routes, 2 services; changed: r (guardS 5 to 4, target s:90+t:10 to s:90+t:0)"]
+        .assert_eq(&Difference::between(Some(&before), &after).to_string());
+    expect!["1 routes, 2 services; added: r; services: s, t; thresholds"]
+        .assert_eq(&Difference::between(None, &after).to_string());
+    let mut many = before.clone();
+    for number in 0..5_000 {
+        many.routing.insert(format!("r{number}"), before.routing["r"].clone());
+    }
+    expect!["1 routes, 2 services; removed: r0, r1, r10, r100, r1000, r1001 and 4994 more"]
+        .assert_eq(&Difference::between(Some(&many), &before).to_string());
+}
+
+#[test]
+fn fields_that_are_passed_over_are_told() {
+    let fields =
+        |text: &str| Configuration::passed_over(text.as_bytes()).unwrap().into_iter().collect::<Vec<_>>();
+    assert!(fields(CONFIGURATION).is_empty());
+    let text = CONFIGURATION
+        .replace("\"guardS\"", "\"quotaS\":3,\"guardS\"")
+        .replace("\"revision\"", "\"zones\":{},\"revision\"");
+    assert_eq!(fields(&text), ["routing.*.quotaS", "zones"]);
+}
--- a/crates/control-plane/src/core/folding.rs
+++ b/crates/control-plane/src/core/folding.rs
@@ -1,7 +1,7 @@
 //! Committed entries become the state here; those who wait for them are answered, and edges are told.
 
 use super::{Changed, Core, RECENT};
-use milletwing_config::event;
+use milletwing_config::{event, Configuration, Difference};
 use milletwing_consensus::Payload;
 use milletwing_replicated_state::{Command, Outcome, View};
 use milletwing_wire::Answer;
@@ -28,8 +28,9 @@
             let (answer, bytes) = match entry.payload {
                 Payload::Data(bytes) => match Command::read(&bytes) {
                     Ok(command) => {
+                        let before = self.view.configuration().cloned();
                         let outcome = self.view.apply(entry.index, &command);
-                        self.note(entry.index, &command, &outcome);
+                        self.note(entry.index, &command, &outcome, before.as_deref());
                         self.changed.note(entry.index, &command);
                         if let Command::Settle { service, good: false, .. } = &command {
                             self.reverted.insert(service.clone(), self.now());
@@ -84,11 +85,13 @@
         }
     }
 
-    pub(super) fn note(&self, index: u64, command: &Command, outcome: &Outcome) {
+    fn note(&self, index: u64, command: &Command, outcome: &Outcome, before: Option<&Configuration>) {
         match (command, outcome) {
             (_, Outcome::Refused(kind)) => event!(Refused, "entry {index}: {kind}"),
             (Command::Configure { .. }, _) => {
-                event!(Configured, "entry {index}: revision {}", self.view.revision)
+                let difference = self.view.configuration().map(|after| Difference::between(before, after));
+                let difference = difference.unwrap_or_default();
+                event!(Configured, "entry {index}: revision {}: {difference}", self.view.revision)
             }
             (Command::NodeUp(node), _) => {
                 let phase =
--- a/crates/control-plane/src/front.rs
+++ b/crates/control-plane/src/front.rs
@@ -9,7 +9,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use milletwing_config::Kind;
+use milletwing_config::{event, Configuration, Kind};
 use milletwing_replicated_state::view::MOST_BODY;
 use milletwing_replicated_state::Beat;
 use milletwing_wire::{Answer, CoreRequest};
@@ -236,7 +236,22 @@
     let if_match: Option<u64> = given.and_then(|value| value.trim().trim_matches('"').parse().ok());
     let body = body(request, MOST_BODY).await?;
     let within = if body.len() > 64 << 10 { WITHIN_LARGE } else { WITHIN };
-    Core::configure(core, if_match, &body, within).await.map(ended)
+    let answer = Core::configure(core, if_match, &body, within).await;
+    match &answer {
+        Ok(Answer::Done(_)) => warn_of_unread(&body),
+        Ok(Answer::Refused(..) | Answer::NotTaken | Answer::Unsure | Answer::Outdated) => {} // what is agreed is noted as it is folded
+        Err(kind) => event!(Refused, "configuration on {if_match:?}: {kind}"),
+    }
+    answer.map(ended)
+}
+
+/// Says which fields of a configuration that was taken are passed over.
+fn warn_of_unread(body: &[u8]) {
+    let fields = Configuration::passed_over(body).unwrap_or_default(); // it was read before it was taken
+    if !fields.is_empty() {
+        let fields: Vec<String> = fields.into_iter().collect();
+        event!(PassedOver, "{}", fields.join(", "));
+    }
 }
 
 async fn configuration(core: &Shared) -> Result<Reply, Kind> {
