--- a/crates/edge-proxy/src/tests.rs
+++ b/crates/edge-proxy/src/tests.rs
@@ -3,6 +3,7 @@
 
 mod core_silence;
 mod guarantees;
+mod tenants;
 
 use crate::edge::Edge;
 use crate::front;
@@ -67,20 +68,29 @@
         tokio::task::spawn_local(serve(call, far, arrivals.clone()));
         Box::pin(async move { Ok(wrap(near)) })
     });
-    let edge = Edge::new(Settings::read(SETTINGS).unwrap(), "10.0.0.9:8548".parse().unwrap(), dial);
+    edge_of(SETTINGS, BODY, (0..count).map(|at| node(at, "a")), dial)
+}
+
+/// A warm marshal of the one service.
+fn node(at: usize, zone: &str) -> Node {
+    Node {
+        id: format!("i-{at}"),
+        target: "s".into(),
+        address: format!("10.1.0.{at}:80").parse().unwrap(),
+        zone: zone.into(),
+        revision: "v1".into(),
+        capacity: 6,
+        phase: Phase::Warm,
+    }
+}
+
+/// An edge that was told a configuration and marshals, and that reaches them by `dial`.
+fn edge_of(settings: &str, body: &str, nodes: impl Iterator<Item = Node>, dial: Dial) -> Rc<Edge> {
+    let edge = Edge::new(Settings::read(settings).unwrap(), "10.0.0.9:8548".parse().unwrap(), dial);
     let mut view = View::default();
-    let command = view.to_configure(1, BODY.as_bytes()).unwrap();
+    let command = view.to_configure(1, body.as_bytes()).unwrap();
     view.apply(1, &command);
-    for at in 0..count {
-        let node = Node {
-            id: format!("i-{at}"),
-            target: "s".into(),
-            address: format!("10.1.0.{at}:80").parse().unwrap(),
-            zone: "a".into(),
-            revision: "v1".into(),
-            capacity: 6,
-            phase: Phase::Warm,
-        };
+    for (at, node) in nodes.enumerate() {
         view.apply(2 + at as u64, &Command::NodeUp(node));
     }
     *edge.view.borrow_mut() = view;
