A configuration by which a route serves nothing, or whose entries collide, is refused

A guardS of 0 was taken, so that each request of that route ended 'expired' as it came; shares that are all 0, two routes of one place, and a name that stands twice (the later one won) were taken too. Change: validity.rs, a list of rules over the whole configuration, each with its kind: NoGuard, NoShare, SamePlace, SharedKey, OddName; duplicate names are unreadable. What was agreed earlier is decoded without the check, so that a stricter list never undoes it nor makes machines of two versions fold differently. Subscribers are read, and their keys kept out of all texts.

--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -1,6 +1,8 @@
-//! The operator's configuration: `prost` messages that are read from JSON, and the list of what is invalid (PROTOCOL).
+//! The operator's configuration: `prost` messages that are read from JSON, as the protocol has it. What is invalid
+//! stands in `validity`.
 
 use crate::kind::Kind;
+use crate::validity;
 use prost::Message;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,13 +18,45 @@
     pub revision: u64,
     /// Routes by name.
     #[prost(btree_map = "string, message", tag = "2")]
+    #[serde(with = "serde_with::rust::maps_duplicate_key_is_error")]
     pub routing: BTreeMap<String, Route>,
     /// Services by name.
     #[prost(btree_map = "string, message", tag = "3")]
+    #[serde(with = "serde_with::rust::maps_duplicate_key_is_error")]
     pub targets: BTreeMap<String, Target>,
     /// What a client may send, and how long it may take.
     #[prost(message, optional, tag = "4")]
     pub thresholds: Option<Thresholds>,
+    /// Tenants by name; none: requests need no key.
+    #[prost(btree_map = "string, message", tag = "5")]
+    #[serde(default, with = "serde_with::rust::maps_duplicate_key_is_error")]
+    pub subscribers: BTreeMap<String, Subscriber>,
+}
+
+/// A tenant. Its text for logs leaves the keys out.
+#[derive(Clone, PartialEq, Message, Deserialize)]
+#[prost(skip_debug)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Subscriber {
+    /// Keys by which its requests are known.
+    #[prost(string, repeated, tag = "1")]
+    pub credentials: Vec<String>,
+    /// Goes before that of the route, where it has one; 0 is highest.
+    #[prost(int64, optional, tag = "2")]
+    pub priority: Option<i64>,
+    /// Regions in which its requests may be served; none: all.
+    #[prost(string, repeated, tag = "3")]
+    pub serving_regions: Vec<String>,
+}
+
+impl std::fmt::Debug for Subscriber {
+    fn fmt(&self, to: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        to.debug_struct("Subscriber")
+            .field("credentials", &self.credentials.len())
+            .field("priority", &self.priority)
+            .field("serving_regions", &self.serving_regions)
+            .finish()
+    }
 }
 
 /// A route: where requests go whose host and path it fits.
@@ -65,6 +99,10 @@
     #[prost(string, repeated, tag = "10")]
     #[serde(default)]
     pub serving_regions: Vec<String>,
+    /// Its requests need no key.
+    #[prost(bool, tag = "11")]
+    #[serde(default)]
+    pub keyless: bool,
 }
 
 fn one() -> u32 {
@@ -119,15 +157,21 @@
 }
 
 impl Configuration {
-    /// Reads and checks a configuration. Each thing of the protocol's list has a kind of its own.
+    /// Reads and checks a configuration that is to be taken. Errors: it can't be read, or the first thing that makes it
+    /// invalid.
     pub fn read(bytes: &[u8]) -> Result<Configuration, Kind> {
-        let text = std::str::from_utf8(bytes).map_err(|problem| Kind::Unreadable(problem.to_string()))?;
-        let configuration: Configuration =
-            serde_json::from_str(text).map_err(|problem| Kind::Unreadable(problem.to_string()))?;
-        configuration.check()?;
+        let configuration = Configuration::decode(bytes)?;
+        validity::check(&configuration)?;
         Ok(configuration)
     }
 
+    /// Reads a configuration without checking it: one that was agreed holds, whatever is refused before it is agreed today.
+    /// Errors: the bytes are none.
+    pub fn decode(bytes: &[u8]) -> Result<Configuration, Kind> {
+        let text = std::str::from_utf8(bytes).map_err(|problem| Kind::Unreadable(problem.to_string()))?;
+        serde_json::from_str(text).map_err(|problem| Kind::Unreadable(problem.to_string()))
+    }
+
     /// Fields that the bytes hold and that are passed over here, each once, names of routes and services as `*`. Errors: the
     /// bytes can't be read.
     pub fn passed_over(bytes: &[u8]) -> Result<BTreeSet<String>, Kind> {
@@ -146,37 +190,6 @@
         found.retain(|field| !FIXED.contains(&field.as_str()));
         Ok(found)
     }
-
-    /// What the protocol calls invalid, as far as one configuration tells.
-    pub fn check(&self) -> Result<(), Kind> {
-        for (name, route) in &self.routing {
-            let services = route.shares();
-            if services.is_empty() {
-                return Err(Kind::NoService(name.clone()));
-            }
-            for (service, share) in services {
-                if !self.targets.contains_key(service) {
-                    return Err(Kind::UnknownService(name.clone(), service.into()));
-                }
-                if share.is_nan() || share < 0.0 {
-                    return Err(Kind::NegativeShare(name.clone()));
-                }
-            }
-            if route.class().is_none() {
-                return Err(Kind::OddClass(name.clone(), route.traffic_class.clone()));
-            }
-            if !route.path_prefix.starts_with('/') {
-                return Err(Kind::BarePrefix(name.clone()));
-            }
-            if !(0.0..=600.0).contains(&route.guard_s) {
-                return Err(Kind::LongGuard(name.clone()));
-            }
-            if route.target_s.is_nan() || route.target_s >= route.guard_s + 60.0 {
-                return Err(Kind::FarTarget(name.clone()));
-            }
-        }
-        Ok(())
-    }
 }
 
 /// What may be done with a request.
@@ -208,6 +221,11 @@
         }
     }
 
+    /// The host by which requests are known as its own: without a port, in small letters.
+    pub fn host(&self) -> String {
+        host(&self.domain)
+    }
+
     /// Its services with their shares.
     pub fn shares(&self) -> Vec<(&str, f64)> {
         match &self.target {
@@ -216,3 +234,9 @@
         }
     }
 }
+
+/// A host as it is compared: without its port, in small letters.
+pub fn host(given: &str) -> String {
+    let name = given.rsplit_once(':').filter(|(_, port)| port.bytes().all(|it| it.is_ascii_digit()));
+    name.map_or(given, |(name, _)| name).trim_end_matches('.').to_ascii_lowercase()
+}
--- a/crates/config/src/difference.rs
+++ b/crates/config/src/difference.rs
@@ -20,6 +20,8 @@
     pub changed: Vec<String>,
     /// Services that only one of them has, or that changed.
     pub services: Vec<String>,
+    /// Subscribers that only one of them has, or that changed. Never their keys.
+    pub subscribers: Vec<String>,
     /// The thresholds differ.
     pub thresholds: bool,
 }
@@ -39,6 +41,7 @@
             removed: only_in(&before.routing, &after.routing),
             changed: changed.collect(),
             services: differing(&before.targets, &after.targets),
+            subscribers: differing(&before.subscribers, &after.subscribers),
             thresholds: before.thresholds != after.thresholds,
         }
     }
@@ -73,6 +76,7 @@
     note("target", goes_to(old), goes_to(new));
     note("maxTries", old.max_tries.to_string(), new.max_tries.to_string());
     note("servingRegions", old.serving_regions.join("+"), new.serving_regions.join("+"));
+    note("keyless", old.keyless.to_string(), new.keyless.to_string());
     out
 }
 
@@ -92,6 +96,7 @@
             ("removed", &self.removed),
             ("changed", &self.changed),
             ("services", &self.services),
+            ("subscribers", &self.subscribers),
         ];
         for (what, names) in parts.into_iter().filter(|(_, names)| !names.is_empty()) {
             let first: Vec<&str> = names.iter().take(MOST_NAMED).map(String::as_str).collect();
--- a/crates/config/src/kind.rs
+++ b/crates/config/src/kind.rs
@@ -11,6 +11,9 @@
     /// No route is known for it, and the core has been out of reach for so long that there may be one by now.
     #[display("no route known, and the core is out of reach")]
     OutOfTouch,
+    /// It has no key of a tenant, and its route needs one.
+    #[display("no key, or none that is known")]
+    UnknownKey,
     /// It is no request as the protocol has it.
     #[display("not a request: {_0}")]
     BadRequest(#[error(not(source))] String),
@@ -59,14 +62,29 @@
     /// A share is below 0.
     #[display("route {_0} has a share below 0")]
     NegativeShare(#[error(not(source))] String),
+    /// Every share is 0, so that no service could be drawn.
+    #[display("route {_0} has no share above 0")]
+    NoShare(#[error(not(source))] String),
+    /// Two routes of one host and prefix.
+    #[display("routes {_0} and {_1} have the same domain and pathPrefix")]
+    SamePlace(String, String),
+    /// One key of two subscribers.
+    #[display("subscribers {_0} and {_1} have a key in common")]
+    SharedKey(String, String),
+    /// A name that no header can hold.
+    #[display("subscriber {_0} has a name that no header can hold")]
+    OddName(#[error(not(source))] String),
     /// A class that is none of those named.
     #[display("route {_0} has the unknown trafficClass {_1}")]
     OddClass(String, String),
     /// A prefix without its slash.
     #[display("route {_0} has a pathPrefix that does not begin with a slash")]
     BarePrefix(#[error(not(source))] String),
+    /// Less than a millisecond: no request could be served by it.
+    #[display("route {_0} has a guardS under a millisecond")]
+    NoGuard(#[error(not(source))] String),
     /// Over ten minutes.
-    #[display("route {_0} has a guardS over ten minutes or below 0")]
+    #[display("route {_0} has a guardS over ten minutes")]
     LongGuard(#[error(not(source))] String),
     /// A minute or more over `guardS`.
     #[display("route {_0} has a targetS a minute or more over its guardS")]
@@ -127,7 +145,10 @@
                 (400, true, false)
             }
             Kind::NoService(_) | Kind::UnknownService(..) | Kind::NegativeShare(_) => (400, true, false),
+            Kind::NoShare(_) | Kind::NoGuard(_) | Kind::SamePlace(..) => (400, true, false),
+            Kind::SharedKey(..) | Kind::OddName(_) => (400, true, false),
             Kind::OddClass(..) | Kind::BarePrefix(_) | Kind::LongGuard(_) => (400, true, false),
+            Kind::UnknownKey => (401, true, false),
             Kind::FarTarget(_) | Kind::OldRevision(..) => (400, true, false),
             Kind::Slow => (408, true, false),
             Kind::Stale(_) => (412, true, false),
--- /dev/null
+++ b/crates/config/src/validity.rs
@@ -0,0 +1,97 @@
+//! What makes a configuration invalid: the protocol's list, and what can't be meant, since a route by it could serve nothing
+//! or nobody could say which of two entries counts.
+
+use crate::configuration::{Configuration, Route, Subscriber};
+use crate::kind::Kind;
+use std::collections::BTreeMap;
+
+/// The shortest time for which a route may hold a request: edges count in milliseconds.
+const SHORTEST_GUARD_S: f64 = 0.001;
+/// The longest.
+const LONGEST_GUARD_S: f64 = 600.0;
+/// A route's aim lies less than so many seconds over its guard.
+const AIM_OVER_GUARD_S: f64 = 60.0;
+
+/// Checks a whole configuration. Errors: the first thing that is wrong, with the entry's name.
+pub fn check(configuration: &Configuration) -> Result<(), Kind> {
+    for (name, route) in &configuration.routing {
+        services(name, route, configuration)?;
+        form(name, route)?;
+        times(name, route)?;
+    }
+    places(&configuration.routing)?;
+    subscribers(&configuration.subscribers)
+}
+
+/// A route's services are known, and one of them can be drawn.
+fn services(name: &str, route: &Route, configuration: &Configuration) -> Result<(), Kind> {
+    let shares = route.shares();
+    if shares.is_empty() {
+        return Err(Kind::NoService(name.into()));
+    }
+    for (service, share) in &shares {
+        if !configuration.targets.contains_key(*service) {
+            return Err(Kind::UnknownService(name.into(), (*service).into()));
+        }
+        if share.is_nan() || *share < 0.0 {
+            return Err(Kind::NegativeShare(name.into()));
+        }
+    }
+    if shares.iter().all(|(_, share)| *share == 0.0) {
+        return Err(Kind::NoShare(name.into()));
+    }
+    Ok(())
+}
+
+/// Its class is one of those named, and its prefix is one.
+fn form(name: &str, route: &Route) -> Result<(), Kind> {
+    if route.class().is_none() {
+        return Err(Kind::OddClass(name.into(), route.traffic_class.clone()));
+    }
+    if !route.path_prefix.starts_with('/') {
+        return Err(Kind::BarePrefix(name.into()));
+    }
+    Ok(())
+}
+
+/// Its times are within bounds; a route that may hold a request for no time can't serve one.
+fn times(name: &str, route: &Route) -> Result<(), Kind> {
+    if route.guard_s.is_nan() || route.guard_s < SHORTEST_GUARD_S {
+        return Err(Kind::NoGuard(name.into()));
+    }
+    if route.guard_s > LONGEST_GUARD_S {
+        return Err(Kind::LongGuard(name.into()));
+    }
+    if route.target_s.is_nan() || route.target_s >= route.guard_s + AIM_OVER_GUARD_S {
+        return Err(Kind::FarTarget(name.into()));
+    }
+    Ok(())
+}
+
+/// No two routes have one host and prefix.
+fn places(routing: &BTreeMap<String, Route>) -> Result<(), Kind> {
+    let mut known = BTreeMap::new();
+    for (name, route) in routing {
+        if let Some(other) = known.insert((route.host(), route.path_prefix.as_str()), name) {
+            return Err(Kind::SamePlace(other.clone(), name.clone()));
+        }
+    }
+    Ok(())
+}
+
+/// No key belongs to two subscribers, and each one's name can be written in a header.
+fn subscribers(subscribers: &BTreeMap<String, Subscriber>) -> Result<(), Kind> {
+    let mut known = BTreeMap::new();
+    for (name, subscriber) in subscribers {
+        if name.is_empty() || name.chars().any(char::is_control) {
+            return Err(Kind::OddName(name.escape_default().to_string()));
+        }
+        for key in &subscriber.credentials {
+            match known.insert(key.as_str(), name) {
+                Some(other) if other != name => return Err(Kind::SharedKey(other.clone(), name.clone())),
+                _ => {}
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/replicated-state/src/view.rs
+++ b/crates/replicated-state/src/view.rs
@@ -172,7 +172,7 @@
             }
         }
         if view.revision > 0 {
-            view.read = Some(Arc::new(Configuration::read(&view.body).map_err(|kind| kind.to_string())?));
+            view.read = Some(Arc::new(Configuration::decode(&view.body).map_err(|kind| kind.to_string())?));
         }
         Ok(view)
     }
@@ -331,7 +331,7 @@
             if digest(&body) != *known {
                 return Err(Kind::Unreadable("it does not fit its digest".into()));
             }
-            let configuration = Configuration::read(&body)?;
+            let configuration = Configuration::decode(&body)?;
             Ok((body, configuration))
         };
         let (body, configuration) = match read() {
--- a/crates/replicated-state/tests/histories.rs
+++ b/crates/replicated-state/tests/histories.rs
@@ -1,6 +1,6 @@
 //! Histories of entries and beats, judged after the fact.
 
-use milletwing_config::Kind;
+use milletwing_config::{Configuration, Kind};
 use milletwing_replicated_state::registry::Verdict;
 use milletwing_replicated_state::{
     Beat, Command, EdgeHeartbeat, EdgeStatus, Node, Outcome, Phase, Registry, State, View,
@@ -364,3 +364,19 @@
     registry.edge_heartbeat(2_000, &EdgeHeartbeat { id: 7, life: 1, ready: true, ago: 0 });
     assert!(registry.ready(2_000).is_empty());
 }
+
+/// What an earlier version took holds, though it would be refused today: in a state on disk, in the log, and as what the next
+/// change builds on.
+#[test]
+fn an_agreed_configuration_holds_whatever_is_refused_today() {
+    let old = String::from_utf8(body(7, 1)).unwrap().replacen("\"guardS\":5", "\"guardS\":0", 1);
+    assert!(Configuration::read(old.as_bytes()).is_err(), "it is refused today");
+    let mut view = View::default();
+    let command = view.to_configure(7, old.as_bytes()).unwrap();
+    assert_eq!(view.apply(1, &command), Outcome::Done);
+    let mut again = View::unpacked(&view.packed()).unwrap();
+    assert_eq!((again.revision, &*again.body), (7, &old.into_bytes()));
+    let next = again.to_configure(8, &body(8, 1)).unwrap();
+    assert_eq!(again.apply(2, &next), Outcome::Done);
+    assert_eq!(again.configuration().unwrap().revision, 8);
+}
