Tenants: requests are known by their keys and run in the homes of tenant and route

Ruled out: homes of routes not kept (routes of these classes have none). Change: routing/tenants.rs finds a tenant by a salted digest of its key; homes of route and tenant both bind in the one place that picks; a tenant's priority goes before its route's; 401 for no known key, 503 out of touch; keyless routes need none. The edge takes the key away and sets the field itself, after what is named in Connection is gone. Tenants are a part of their own in the digests of drift.

--- a/crates/control-plane/src/drift.rs
+++ b/crates/control-plane/src/drift.rs
@@ -8,6 +8,7 @@
 use milletwing_replicated_state::View;
 use milletwing_routing::intent;
 use milletwing_routing::table::Table;
+use milletwing_routing::tenants::Salt;
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
@@ -64,7 +65,7 @@
     fn follow(&mut self, view: &View) {
         let Some(configuration) = view.configuration() else { return };
         if self.table.0.as_ref().is_none_or(|of| !Arc::ptr_eq(of, configuration)) {
-            self.table = (Some(Arc::clone(configuration)), Table::new(configuration));
+            self.table = (Some(Arc::clone(configuration)), Table::new(configuration, Salt::default()));
         }
     }
 
--- a/crates/drift-detection/src/digest.rs
+++ b/crates/drift-detection/src/digest.rs
@@ -16,11 +16,13 @@
     Deals,
     /// Stages of trials.
     Trials,
+    /// Tenants with their homes and priorities, and digests of their keys.
+    Tenants,
 }
 
 impl Part {
     /// All of them, in the order of a digest.
-    pub const ALL: [Part; 4] = [Part::Routes, Part::Hosts, Part::Deals, Part::Trials];
+    pub const ALL: [Part; 5] = [Part::Routes, Part::Hosts, Part::Deals, Part::Trials, Part::Tenants];
 
     /// For operators.
     pub fn word(self) -> &'static str {
@@ -29,6 +31,7 @@
             Part::Hosts => "hosts",
             Part::Deals => "deals",
             Part::Trials => "trials",
+            Part::Tenants => "tenants",
         }
     }
 }
@@ -54,7 +57,7 @@
 /// The digests of the parts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
-    parts: [u128; 4],
+    parts: [u128; Part::ALL.len()],
 }
 
 impl Sink for Digest {
--- a/crates/edge-proxy/src/headers.rs
+++ b/crates/edge-proxy/src/headers.rs
@@ -1,6 +1,6 @@
 //! The protocol's header fields, and what concerns one connection only.
 
-use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use std::time::Duration;
 
 /// The id of one try of a client.
@@ -11,6 +11,8 @@
 pub const TARGET: HeaderName = HeaderName::from_static("x-milletwing-target-node");
 /// The marshal's stamp on its answer.
 pub const SEAL: HeaderName = HeaderName::from_static("x-milletwing-server-seal");
+/// The tenant whose key the client sent; set by the system alone.
+pub const SUBSCRIBER: HeaderName = HeaderName::from_static("x-milletwing-subscriber");
 /// The marshal did not run the request.
 pub const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-milletwing-not-executed");
 /// The marshal's load, as it tells it.
@@ -45,6 +47,29 @@
     }
 }
 
+/// How a key is given in `Authorization`; schemes are compared without case (RFC 9110, 11.1).
+pub const KEY_SCHEME: &str = "Token";
+
+/// The key of a request. Two fields, or another scheme, give none.
+pub fn key(headers: &HeaderMap) -> Option<&str> {
+    let mut fields = headers.get_all(header::AUTHORIZATION).iter();
+    let field = fields.next().filter(|_| fields.next().is_none())?;
+    let (scheme, key) = field.to_str().ok()?.trim().split_once(' ')?;
+    scheme.eq_ignore_ascii_case(KEY_SCHEME).then(|| key.trim())
+}
+
+/// Makes a request's head say whose it is, whatever its client wrote there. `tenant`: the tenant's name, where the request
+/// bore its key. `keyed`: the configuration has tenants, so that keys are this system's and not the marshals'.
+pub fn introduce(headers: &mut HeaderMap, tenant: Option<&str>, keyed: bool) {
+    headers.remove(SUBSCRIBER);
+    if keyed {
+        headers.remove(header::AUTHORIZATION);
+    }
+    if let Some(name) = tenant.and_then(|name| HeaderValue::from_bytes(name.as_bytes()).ok()) {
+        headers.insert(SUBSCRIBER, name);
+    }
+}
+
 /// Whether the connection ends with this message.
 pub fn closes(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
--- a/crates/edge-proxy/src/metrics.rs
+++ b/crates/edge-proxy/src/metrics.rs
@@ -66,6 +66,7 @@
 fn reason_label(kind: &Kind) -> &'static str {
     match kind {
         Kind::NoRoute => "no_route",
+        Kind::UnknownKey => "unknown_key",
         Kind::OutOfTouch => "out_of_touch",
         Kind::BadRequest(_) => "bad_request",
         Kind::HeadTooLarge => "head_too_large",
--- a/crates/edge-proxy/src/relay.rs
+++ b/crates/edge-proxy/src/relay.rs
@@ -4,7 +4,7 @@
 use crate::attempt::{deliver, left, send, Answer, Done, Source};
 use crate::body::{gather, join, Gathered};
 use crate::edge::Edge;
-use crate::headers::{strip, ATTEMPT, REMAINING};
+use crate::headers::{introduce, key, strip, ATTEMPT, KEY_SCHEME, REMAINING};
 use crate::out::Out;
 use crate::validation::check;
 use crate::watched::Notes;
@@ -17,7 +17,7 @@
 use milletwing_config::configuration::Class;
 use milletwing_config::{event, Kind};
 use milletwing_routing::table::Route;
-use milletwing_routing::{Result as Ended, Sending, Ticket};
+use milletwing_routing::{Head, Result as Ended, Sending, Ticket};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -78,6 +78,9 @@
             headers.insert(header::RETRY_AFTER, wait);
         }
     }
+    if matches!(kind, Kind::UnknownKey) {
+        headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static(KEY_SCHEME));
+    }
     if matches!(kind, Kind::BadRequest(_) | Kind::BodyTooLarge | Kind::HeadTooLarge) {
         // What may follow on this connection can't be told from the rest of this request.
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -114,9 +117,14 @@
     let host = host.or(parts.uri.host()).unwrap_or("").to_owned();
     let remaining = parts.headers.get(REMAINING).and_then(|left| left.to_str().ok()?.trim().parse().ok());
     let ticket = {
-        let now = edge.now();
-        let ticket = edge.router.borrow_mut().arrive(now, &host, parts.uri.path(), remaining);
-        ticket.map_err(|kind| refuse(kind, None))?
+        let mut router = edge.router.borrow_mut();
+        let head = Head { host: &host, path: parts.uri.path(), remaining, key: key(&parts.headers) };
+        let ticket = router.arrive(edge.now(), head).map_err(|kind| refuse(kind, None))?;
+        // Before what is told of the tenant: a client may name that field as one of its connection.
+        strip(&mut parts.headers);
+        // At once, by the configuration that the request was let in by: while its body comes, another may take its place.
+        introduce(&mut parts.headers, ticket.tenant.as_ref().map(|tenant| &*tenant.name), router.keyed());
+        ticket
     };
     let route = &ticket.route;
     let gathering = tokio::time::timeout(left(edge, ticket.deadline), gather(body));
@@ -125,7 +133,6 @@
         Ok(Err(_)) => return Err(refuse(Kind::BadRequest("the body broke off".into()), Some(route))),
         Err(_) => return Err(refuse(Kind::Expired, Some(route))),
     };
-    strip(&mut parts.headers);
     parts.headers.remove(header::CONTENT_LENGTH);
     parts.headers.remove(header::EXPECT);
     let sized: u64 = gathered.head.iter().map(|bytes| bytes.len() as u64).sum();
--- a/crates/edge-proxy/src/tests/tenants.rs
+++ b/crates/edge-proxy/src/tests/tenants.rs
@@ -91,3 +91,95 @@
         }
     });
 }
+
+/// What a marshal read of a field; nothing where it is absent.
+fn fields<'a>(head: &'a str, name: &str) -> Vec<&'a str> {
+    head.lines().filter_map(|line| line.split_once(": ").filter(|it| it.0 == name)).map(|it| it.1).collect()
+}
+
+#[test]
+fn marshals_are_told_the_tenant_and_never_the_key() {
+    run(async {
+        let (edge, heads) = edge();
+        let forged = "X-Milletwing-Subscriber: southerner\r\nx-milletwing-SUBSCRIBER: traveller\r\n";
+        for (path, sent, told) in [
+            ("/any/x", "Authorization: Token key-n1\r\n", &["northerner"][..]),
+            ("/any/x", "authorization: tOKEN   key-n2 \r\n", &["northerner"]),
+            // The field that a client writes itself counts for nothing, however often and in whatever case.
+            ("/any/x", &format!("{forged}Authorization: Token key-n1\r\n{forged}"), &["northerner"]),
+            // One that is named as of this connection only, so that it would be taken away afterwards.
+            (
+                "/any/x",
+                "Connection: X-Milletwing-Subscriber\r\nAuthorization: Token key-t\r\n",
+                &["traveller"],
+            ),
+            ("/open/x", forged, &[]),
+            ("/open/x", "Authorization: Token key-t\r\n", &[]),
+            ("/open/x", "", &[]),
+        ] {
+            heads.borrow_mut().clear();
+            assert!(ask(&edge, path, sent).await.starts_with("http/1.1 200"), "{path} {sent}");
+            let (_, head) = heads.borrow()[0].clone();
+            assert_eq!(fields(&head, "x-milletwing-subscriber"), told, "{path} {sent}: {head}");
+            assert!(
+                !head.contains("key-") && fields(&head, "authorization").is_empty(),
+                "{path} {sent}: {head}"
+            );
+        }
+    });
+}
+
+#[test]
+fn a_request_without_a_known_key_is_refused_for_good_and_reaches_nobody() {
+    run(async {
+        let (edge, heads) = edge();
+        for sent in [
+            "",
+            "Authorization: Token key\r\n",
+            "Authorization: Token key-n1x\r\n",
+            "Authorization: Token KEY-N1\r\n",
+            "Authorization: Token\r\n",
+            "Authorization: Basic key-n1\r\n",
+            "Authorization: key-n1\r\n",
+            "Authorization: Token key-n1\r\nAuthorization: Token key-n1\r\n",
+            "X-Milletwing-Subscriber: northerner\r\n",
+        ] {
+            let got = ask(&edge, "/any/x", sent).await;
+            assert!(got.starts_with("http/1.1 401"), "{sent}: {got}");
+            assert_eq!(fields(&got, "www-authenticate"), ["token"], "{sent}: {got}");
+        }
+        assert!(heads.borrow().is_empty());
+    });
+}
+
+#[test]
+fn a_key_counts_as_the_configuration_in_force_has_it_on_open_connections_too() {
+    run(async {
+        let (edge, heads) = edge();
+        let (mut client, server) = duplex(1 << 20);
+        tokio::task::spawn_local(front::connection(Rc::clone(&edge), server));
+        let text = "GET /any/x HTTP/1.1\r\nHost: h\r\nX-Milletwing-Attempt-Id: i\r\nAuthorization: Token key-t\r\n\r\n";
+        let mut index = 100;
+        let bodies = [
+            (2, BODY.replace("\"key-t\"", "\"key-u\""), "http/1.1 401"),
+            (3, BODY.into(), "http/1.1 200"),
+            (4, BODY.replace("\"traveller\"", "\"other\""), "http/1.1 200"),
+        ];
+        for (revision, body, wanted) in bodies {
+            let body = body.replace("\"revision\":1", &format!("\"revision\":{revision}"));
+            let command = edge.view.borrow().to_configure(revision, body.as_bytes()).unwrap();
+            index += 1;
+            edge.view.borrow_mut().apply(index, &command);
+            edge.refresh();
+            heads.borrow_mut().clear();
+            client.write_all(text.as_bytes()).await.unwrap();
+            let got = head(&mut client).await.expect("an answer on the same connection");
+            assert!(got.starts_with(wanted), "revision {revision}: {got}");
+            let length: usize = fields(&got, "content-length")[0].parse().unwrap();
+            client.read_exact(&mut vec![0; length]).await.unwrap();
+            assert_eq!(heads.borrow().len(), usize::from(wanted.ends_with("200")), "revision {revision}");
+        }
+        let (_, last) = heads.borrow()[0].clone();
+        assert_eq!(fields(&last, "x-milletwing-subscriber"), ["other"]);
+    });
+}
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -12,6 +12,7 @@
 use crate::budget::Budget;
 use crate::marshal::Marshal;
 use crate::table::{Route, Table};
+use crate::tenants::{Salt, Tenant};
 use crate::trial::Trial;
 use crate::Time;
 use ahash::RandomState;
@@ -40,11 +41,26 @@
     pub zones: BTreeMap<String, String>,
 }
 
+/// What a request's head says that matters for where it goes.
+#[derive(Clone, Copy, Debug)]
+pub struct Head<'a> {
+    /// The `Host`.
+    pub host: &'a str,
+    /// The path.
+    pub path: &'a str,
+    /// Milliseconds for which the client waits, where it says so.
+    pub remaining: Option<u64>,
+    /// The key, where there is one.
+    pub key: Option<&'a str>,
+}
+
 /// A request under way.
 #[derive(Debug)]
 pub struct Ticket {
     /// Its route.
     pub route: Rc<Route>,
+    /// Whose key it bears, where it needs one.
+    pub tenant: Option<Rc<Tenant>>,
     /// The service drawn for it.
     pub service: Rc<str>,
     /// No answer counts after this.
@@ -115,6 +131,19 @@
     ((per_s * bounds.warmupExcess + bounds.warmupSlack) / edges.max(1.0)).max(1.0) as u32
 }
 
+impl Ticket {
+    /// Whether it may be served in a region: where route and tenant both have homes, both bind.
+    fn at_home(&self, region: &str) -> bool {
+        let binds = |homes: &[String]| homes.is_empty() || homes.iter().any(|home| home == region);
+        binds(&self.route.regions) && self.tenant.as_ref().is_none_or(|tenant| binds(&tenant.regions))
+    }
+
+    /// How many priorities go before its own: its tenant's counts before its route's.
+    fn rank(&self) -> u32 {
+        self.tenant.as_ref().and_then(|tenant| tenant.rank).unwrap_or(self.route.rank)
+    }
+}
+
 #[derive(Debug)]
 struct Service {
     /// Marshals by reach.
@@ -180,6 +209,8 @@
     /// A decision that the core has not been told yet, and when the next is due.
     sampled: Option<Sample>,
     next_sample: Time,
+    /// For digests of keys.
+    salt: Salt,
     chance: Pcg64Mcg,
 }
 
@@ -203,6 +234,7 @@
             sendings: 0,
             sampled: None,
             next_sample: 0,
+            salt: Pcg64Mcg::seed_from_u64(!seed).random(),
             chance: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -212,6 +244,11 @@
         self.of.is_some()
     }
 
+    /// Whether requests need keys of tenants.
+    pub fn keyed(&self) -> bool {
+        self.table.tenants.any()
+    }
+
     /// The configuration in force here.
     pub fn configuration(&self) -> Option<&Arc<Configuration>> {
         self.of.as_ref()
--- a/crates/routing/src/router/pick.rs
+++ b/crates/routing/src/router/pick.rs
@@ -1,7 +1,8 @@
 //! Which marshal a request is sent to, and when a second one.
 
 use super::{
-    connections, unheard_bound, Router, Sending, Ticket, AWAY, BUDGET_PART, CROSSING, DEEP, HEARD, LONG, STEP,
+    connections, unheard_bound, Head, Router, Sending, Ticket, AWAY, BUDGET_PART, CROSSING, DEEP, HEARD,
+    LONG, STEP,
 };
 use crate::table::Route;
 use crate::trial::{Out, Trial};
@@ -12,21 +13,21 @@
 use std::rc::Rc;
 
 impl Router {
-    /// A request came. `remaining`: milliseconds for which the client waits.
-    pub fn arrive(
-        &mut self,
-        now: Time,
-        host: &str,
-        path: &str,
-        remaining: Option<u64>,
-    ) -> Result<Ticket, Kind> {
+    /// A request came. Errors: no configuration, no route, or no known key where the route needs one.
+    pub fn arrive(&mut self, now: Time, head: Head<'_>) -> Result<Ticket, Kind> {
         if self.of.is_none() {
             return Err(Kind::NotReady);
         }
         // Guards against a refusal for good by what is known no longer.
-        let none = if self.out_of_touch(now) { Kind::OutOfTouch } else { Kind::NoRoute };
-        let route = self.table.find(host, path).ok_or(none)?;
+        let unless_newer = |kind| if self.out_of_touch(now) { Kind::OutOfTouch } else { kind };
+        let route = self.table.find(head.host, head.path).ok_or_else(|| unless_newer(Kind::NoRoute))?;
         let route = Rc::clone(route);
+        let tenant = if self.table.tenants.any() && !route.keyless {
+            let found = head.key.and_then(|key| self.table.tenants.find(key));
+            Some(Rc::clone(found.ok_or_else(|| unless_newer(Kind::UnknownKey))?))
+        } else {
+            None
+        };
         let service = Rc::clone(route.service(self.chance.random()).ok_or(Kind::NoMarshal)?);
         let mut new = false;
         if let Some(service) = self.services.get_mut(&service) {
@@ -39,10 +40,11 @@
                 new = trial.heads(now, route.class, draw, self.bounds.exposureShare, slack, heard);
             }
         }
-        let hold = remaining.unwrap_or(u64::MAX).min(route.guard);
+        let hold = head.remaining.unwrap_or(u64::MAX).min(route.guard);
         Ok(Ticket {
             deadline: now + hold,
             route,
+            tenant,
             service,
             tried: Vec::new(),
             sent: 0,
@@ -85,7 +87,7 @@
         let kilobytes = self.weight.get(&ticket.route.name).copied().unwrap_or(4.0);
         let target = ticket.route.target as f64;
         // Under pressure room is left for what goes before; never less than what marshals work on at once and as much again.
-        let deep = (DEEP - STEP * f64::from(ticket.route.rank)).max(2.0);
+        let deep = (DEEP - STEP * f64::from(ticket.rank())).max(2.0);
         let mut best: Option<(f64, u64)> = None;
         let mut full = false;
         let marshals = &mut self.marshals;
@@ -101,9 +103,8 @@
             .map(|of| unheard_bound(of, &ticket.service, &self.bounds, self.edges));
         let mut weigh = |key: u64, side: Option<bool>, best: &mut Option<(f64, u64)>, full: &mut bool| {
             let Some(marshal) = marshals.get_mut(&key) else { return };
-            let home = ticket.route.regions.is_empty() || ticket.route.regions.contains(&marshal.region);
             if side.is_some_and(|side| side != marshal.new)
-                || !home
+                || !ticket.at_home(&marshal.region)
                 || ticket.tried.contains(&key)
                 || !marshal.takes(now, repeatable, unheard)
             {
--- a/crates/routing/src/router/tables.rs
+++ b/crates/routing/src/router/tables.rs
@@ -35,7 +35,7 @@
     pub(super) fn build(&mut self, now: Time, view: &View, renew: bool) {
         if let Some(configuration) = view.configuration() {
             if self.of.as_ref().is_none_or(|of| !Arc::ptr_eq(of, configuration)) {
-                self.table = Table::new(configuration);
+                self.table = Table::new(configuration, self.salt);
                 self.of = Some(Arc::clone(configuration));
                 self.weight.retain(|name, _| configuration.routing.contains_key(name));
             }
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -1,8 +1,9 @@
 //! Finds the route of a request: its host's, the longest prefix first.
 
+use crate::tenants::{Salt, Tenants};
 use ahash::RandomState;
 use hashbrown::HashMap;
-use milletwing_config::configuration::Class;
+use milletwing_config::configuration::{host, Class};
 use milletwing_config::Configuration;
 use milletwing_drift_detection::{Part, Sink};
 use std::rc::Rc;
@@ -28,12 +29,14 @@
     pub tries: u32,
     /// Regions in which it may be served; none: all.
     pub regions: Vec<String>,
+    /// Its requests need no key.
+    pub keyless: bool,
 }
 
 impl Route {
     /// All that matters about it, under the host by which it is found.
     fn reflect(&self, host: &str, sink: &mut impl Sink) {
-        let class = [crate::trial::place(self.class) as u8];
+        let class = [crate::trial::place(self.class) as u8, u8::from(self.keyless)];
         let numbers = [self.guard, self.target, u64::from(self.rank), u64::from(self.tries)];
         let numbers = numbers.map(u64::to_be_bytes).concat();
         let mut about: Vec<&[u8]> = vec![host.as_bytes(), self.prefix.as_bytes(), &class, &numbers];
@@ -56,15 +59,16 @@
 #[derive(Debug, Default)]
 pub struct Table {
     hosts: HashMap<String, Vec<Rc<Route>>, RandomState>,
+    /// Those whose keys requests bear.
+    pub tenants: Tenants,
 }
 
 impl Table {
-    /// Of a configuration.
-    pub fn new(configuration: &Configuration) -> Table {
-        let mut table = Table::default();
-        let mut priorities: Vec<i64> = configuration.routing.values().map(|route| route.priority).collect();
-        priorities.sort_unstable();
-        priorities.dedup();
+    /// Of a configuration. `salt`: for digests of keys.
+    pub fn new(configuration: &Configuration, salt: Salt) -> Table {
+        let priorities = priorities(configuration);
+        let rank = |priority: i64| priorities.partition_point(|it| *it < priority) as u32;
+        let mut table = Table { tenants: Tenants::new(configuration, salt, rank), ..Table::default() };
         for (name, route) in &configuration.routing {
             let Some(class) = route.class() else { continue };
             let mut upto = 0.0;
@@ -79,10 +83,11 @@
                 class,
                 guard: (route.guard_s * 1000.0) as u64,
                 target: ((route.target_s * 1000.0) as u64).max(1),
-                rank: priorities.partition_point(|it| *it < route.priority) as u32,
+                rank: rank(route.priority),
                 shares,
                 tries: route.max_tries.max(1),
                 regions: route.serving_regions.clone(),
+                keyless: route.keyless,
             };
             table.hosts.entry(host(&route.domain)).or_default().push(Rc::new(own));
         }
@@ -92,8 +97,9 @@
         table
     }
 
-    /// All routes, as they are looked up.
+    /// All routes and tenants, as they are looked up.
     pub fn reflect(&self, sink: &mut impl Sink) {
+        self.tenants.reflect(sink);
         for (host, routes) in &self.hosts {
             for route in routes {
                 route.reflect(host, sink);
@@ -111,8 +117,12 @@
     }
 }
 
-/// A host as it is compared: without its port, in small letters.
-fn host(given: &str) -> String {
-    let name = given.rsplit_once(':').filter(|(_, port)| port.bytes().all(|it| it.is_ascii_digit()));
-    name.map_or(given, |(name, _)| name).trim_end_matches('.').to_ascii_lowercase()
+/// All priorities of routes and tenants, each once, highest first.
+fn priorities(configuration: &Configuration) -> Vec<i64> {
+    let routes = configuration.routing.values().map(|route| route.priority);
+    let tenants = configuration.subscribers.values().filter_map(|tenant| tenant.priority);
+    let mut priorities: Vec<i64> = routes.chain(tenants).collect();
+    priorities.sort_unstable();
+    priorities.dedup();
+    priorities
 }
--- a/crates/routing/tests/decisions.rs
+++ b/crates/routing/tests/decisions.rs
@@ -8,7 +8,7 @@
 use milletwing_outlier_detection::key;
 use milletwing_replicated_state::{Command, Node, Phase};
 use milletwing_routing::marshal::Load;
-use milletwing_routing::{Place, Result as Ended, Router, Ticket, Time};
+use milletwing_routing::{Head, Place, Result as Ended, Router, Ticket, Time};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,9 +18,20 @@
     let mut router = edge(1, &view(4), 1, 1);
     assert_eq!(arrive(&mut router, 1, "/look/x").route.name, "look");
     assert_eq!(arrive(&mut router, 1, "/look/deep/x").route.name, "deep");
-    assert_eq!(router.arrive(1, "H.example:80", "/look/x", None).unwrap().route.name, "look");
+    assert_eq!(
+        router
+            .arrive(1, Head { host: "H.example:80", path: "/look/x", remaining: None, key: None })
+            .unwrap()
+            .route
+            .name,
+        "look"
+    );
     for (host, path) in [("h.example", "/other/"), ("h.example", "/look"), ("g.example", "/look/x")] {
-        assert_eq!(router.arrive(1, host, path, None).unwrap_err(), Kind::NoRoute, "{host}{path}");
+        assert_eq!(
+            router.arrive(1, Head { host, path, remaining: None, key: None }).unwrap_err(),
+            Kind::NoRoute,
+            "{host}{path}"
+        );
     }
     let mut fresh = Router::new(
         Place { id: 1, zone: "a".into(), region: "north".into(), zones: BTreeMap::new() },
@@ -28,7 +39,7 @@
         1,
     );
     assert_eq!(
-        fresh.arrive(1, "h.example", "/other/", None).unwrap_err(),
+        fresh.arrive(1, Head { host: "h.example", path: "/other/", remaining: None, key: None }).unwrap_err(),
         Kind::NotReady,
         "404 only by a configuration"
     );
--- a/crates/routing/tests/drift.rs
+++ b/crates/routing/tests/drift.rs
@@ -108,7 +108,7 @@
         let index = self.view.index + 1;
         self.view.apply(index, &command);
         if let Some(configuration) = self.view.configuration() {
-            self.table = Table::new(configuration);
+            self.table = Table::new(configuration, Default::default());
         }
         for (id, edge) in &mut self.edges {
             if !lost.contains(id) {
--- a/crates/routing/tests/outage.rs
+++ b/crates/routing/tests/outage.rs
@@ -6,7 +6,7 @@
 use milletwing_config::settings::Guarantees;
 use milletwing_config::Kind;
 use milletwing_replicated_state::{Command, Phase, View};
-use milletwing_routing::{Result as Ended, Router, Time};
+use milletwing_routing::{Head, Result as Ended, Router, Time};
 
 /// When the core falls silent, when the one marshal in reach turns cold, and the end.
 const SILENT: Time = 1_000;
@@ -108,7 +108,11 @@
 #[test]
 fn an_edge_that_lost_the_core_refuses_no_route_for_good() {
     let mut router = edge(0, &view(1), 9, 1);
-    let refused = |router: &mut Router, now| router.arrive(now, "h.example", "/newer/", None).unwrap_err();
+    let refused = |router: &mut Router, now| {
+        router
+            .arrive(now, Head { host: "h.example", path: "/newer/", remaining: None, key: None })
+            .unwrap_err()
+    };
     assert_eq!(refused(&mut router, 3_000), Kind::NoRoute);
     let kind = refused(&mut router, 9_000);
     assert_eq!((kind.clone(), kind.answer().status, kind.answer().promise), (Kind::OutOfTouch, 503, true));
