Absurd numbers from outside are bounded: warm-ups in one place, settings that are no number refused

Cause: looked for after the incident as the same class, a bound that holds for one source only. warmupLeftS of a report was clamped, warmupS of a configuration was not: 1e300 overflows the clock. A setting of inf would have ended an edge as it leaves. Ruled out: thresholds of a configuration (clamped where they are used), periodS of a roll-out (clamped). Change: registry.rs has one reading of warm-ups; Settings::read refuses numbers that are not finite, with the field.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -178,6 +178,8 @@
 impl Settings {
     /// Reads the file's text. The error names the field or the line.
     pub fn read(text: &str) -> Result<Settings, String> {
+        let whole: toml::Value = toml::from_str(text).map_err(|problem| problem.to_string())?;
+        finite("", &whole)?;
         let settings: Settings = toml::from_str(text).map_err(|problem| problem.to_string())?;
         let (first, last) = settings.network.internal_ports;
         if first == 0 || last < first {
@@ -209,3 +211,16 @@
         self.network.zones.get(zone).map_or(zone, String::as_str)
     }
 }
+
+/// Refuses numbers that are none or without end, which no bound or time can be. The error names the field.
+fn finite(path: &str, value: &toml::Value) -> Result<(), String> {
+    let at = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    match value {
+        toml::Value::Float(number) if !number.is_finite() => {
+            Err(format!("{path}: a finite number is wanted"))
+        }
+        toml::Value::Table(table) => table.iter().try_for_each(|(name, value)| finite(&at(name), value)),
+        toml::Value::Array(values) => values.iter().try_for_each(|value| finite(path, value)),
+        _ => Ok(()),
+    }
+}
--- a/crates/config/tests/reading.rs
+++ b/crates/config/tests/reading.rs
@@ -61,6 +61,10 @@
         refused("10.1.0.36:8544", "somewhere").contains("somewhere")
             || refused("10.1.0.36:8544", "x").contains("seedList")
     );
+    expect!["timers.guarantees.applyS: a finite number is wanted"]
+        .assert_eq(&refused("applyS = 2.5", "applyS = inf"));
+    expect!["timers.guarantees.drainS: a finite number is wanted"]
+        .assert_eq(&refused("drainS = 2", "drainS = nan"));
     expect!["network.bindings.readiness is missing"].assert_eq(&whole.binding("readiness").unwrap_err());
 }
 
--- a/crates/replicated-state/src/registry.rs
+++ b/crates/replicated-state/src/registry.rs
@@ -111,6 +111,14 @@
 /// Lives remembered at most.
 const LIVES: usize = 16_384;
 
+/// Seconds for which a marshal is cold, at most: what a report or a configuration says beyond is no time that was meant.
+const LONGEST_WARMUP_S: f64 = 3_600.0;
+
+/// Milliseconds of a warm-up that is told in seconds.
+fn warmup(told_s: f64) -> Time {
+    (told_s.clamp(0.0, LONGEST_WARMUP_S) * 1_000.0) as Time
+}
+
 impl Registry {
     /// Takes a beat.
     pub fn beat(&mut self, now: Time, view: &View, id: &str, beat: &Beat) -> Verdict {
@@ -125,8 +133,8 @@
         if late || view.has_left(id) {
             return Verdict::Known;
         }
-        let left = beat.warmup_left_s.clamp(0.0, 3600.0);
-        let until = now + (left * 1000.0) as Time;
+        let left = warmup(beat.warmup_left_s);
+        let until = now + left;
         let known = view.nodes.get(id);
         if beat.state == "draining" {
             return match known {
@@ -141,7 +149,7 @@
         let Some(node) = known.filter(|node| node.address == beat.address) else {
             life.cold = Some(until);
             life.held = false;
-            let phase = if left > 0.0 {
+            let phase = if left > 0 {
                 Phase::Cold(self.deal(now, view, &beat.target, &beat.zone))
             } else {
                 Phase::Warm
@@ -157,13 +165,13 @@
             }));
         };
         match &node.phase {
-            Phase::Warm if left > 0.0 => {
+            Phase::Warm if left > 0 => {
                 (life.cold, life.held) = (Some(until), false);
                 let deal = self.deal(now, view, &beat.target, &beat.zone);
                 Verdict::Enter(Command::NodeCold { id: id.into(), deal })
             }
             Phase::Cold(_) => {
-                if left > 0.0 {
+                if left > 0 {
                     life.cold = Some(life.cold.unwrap_or(0).max(until));
                 } else if !life.held {
                     return Verdict::Enter(Command::NodeWarm { id: id.into() });
@@ -262,7 +270,7 @@
             let life = self.lives.entry(node.id.clone()).or_default();
             life.heard = now;
             if let (Phase::Cold(_), None) = (&node.phase, life.cold) {
-                life.cold = Some(now + (cold_for(&node.target) * 1000.0) as Time);
+                life.cold = Some(now + warmup(cold_for(&node.target)));
                 life.held = true;
             }
         }
@@ -280,7 +288,7 @@
         let mut deals = Vec::new();
         for node in view.nodes.values().filter(|node| node.zone == zone) {
             let life = self.lives.entry(node.id.clone()).or_default();
-            life.cold = Some(now + (cold_for(&node.target) * 1000.0) as Time + 500);
+            life.cold = Some(now + warmup(cold_for(&node.target)) + 500);
             life.held = true;
             deals.push((node.id.clone(), self.deal(now, view, &node.target, zone)));
         }
@@ -315,7 +323,7 @@
             // Guards against warming what this machine has only read of: a new leader folds earlier entries after it
             // was elected, and how long those marshals stay cold it has not heard.
             if life.cold.is_none() {
-                life.cold = Some(now + (cold_for(&node.target) * 1000.0) as Time);
+                life.cold = Some(now + warmup(cold_for(&node.target)));
                 life.held = true;
             }
             if life.cold.is_some_and(|until| now >= until) {
--- a/crates/replicated-state/tests/histories.rs
+++ b/crates/replicated-state/tests/histories.rs
@@ -380,3 +380,21 @@
     assert_eq!(again.apply(2, &next), Outcome::Done);
     assert_eq!(again.configuration().unwrap().revision, 8);
 }
+
+/// A time beyond any that is meant neither overflows the clock nor leaves a marshal cold for good.
+#[test]
+fn absurd_warm_ups_are_bounded() {
+    for (told, hour) in [(1e300, true), (f64::MAX, true), (-1e300, false), (f64::NAN, false)] {
+        let (mut view, mut registry) = (configured(1), Registry::default());
+        let cold = beat("s", "10.1.0.1:80", "available", 3.0, 1);
+        assert!(take(&mut view, &mut registry, 1, "i-1", &cold));
+        let back = registry.take_back(2, &view, "a", &|_| told);
+        assert!(matches!(back, Command::Evacuate { on: false, .. }));
+        let mut warm = |now| {
+            let entered = registry.sweep(now, &view, u64::MAX, &|_| told);
+            entered.iter().any(|it| matches!(it, Command::NodeWarm { .. }))
+        };
+        assert_eq!(warm(60_000), !hour, "{told}");
+        assert!(warm(3_700_000), "{told}");
+    }
+}
