A soak of the real programs: overlapping signals, restarts and changes, clients that stay

Cause: the tests of the real programs drive one danger each; the incident's order of changes and the use of open connections while processes leave were driven by nothing. Change: milletwing-trials soak, a place of real processes with stand-ins of marshals, clients that keep a connection until its process is gone, an operator that also sends each kind of invalid configuration, and a judge of what all of them saw.

--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod links;
 pub mod measure;
 pub mod releases;
+pub mod soak;
 pub mod world;
--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -4,7 +4,7 @@
 use milletwing_group_server::Joiner;
 use milletwing_marshal::server::{Extras, Joining};
 use milletwing_marshal::{Config, Limits, Server, Signs};
-use milletwing_trials::{demo, fleet, group, judging, measure, releases};
+use milletwing_trials::{demo, fleet, group, judging, measure, releases, soak};
 use serde_json::Value;
 
 /// Demonstrates a marshal, and tries groups of them under failures; all on loopback, and it ends by itself.
@@ -27,6 +27,38 @@
     Withdrawal(Withdrawal),
     Gated(Gated),
     Instance(Instance),
+    Soak(Soak),
+}
+
+/// Starts the real programs of the system, and draws series of overlapping signals, restarts and changes from the seed; ends with
+/// 1 where something that must hold did not.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+struct Soak {
+    /// the first seed (1 by default)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// how many seeds, one after the other (1 by default)
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// machines of the core, 1 to 9 (3 by default)
+    #[argh(option, default = "3")]
+    core: u32,
+    /// edges, 1 to 400 (6 by default)
+    #[argh(option, default = "6")]
+    edges: u32,
+    /// marshals that are stood in for, 2 to 200 (8 by default)
+    #[argh(option, default = "8")]
+    marshals: u32,
+    /// connections that clients keep, 1 to 2000 (24 by default)
+    #[argh(option, default = "24")]
+    clients: u32,
+    /// things that happen (60 by default)
+    #[argh(option, default = "60")]
+    events: u32,
+    /// the program of the system; by default the one beside this program
+    #[argh(option)]
+    program: Option<std::path::PathBuf>,
 }
 
 /// Starts stand-ins, one marshal and traffic, and shows how a build on trial fares.
@@ -219,6 +251,7 @@
             }
             Ok(seen["held"] == true)
         }
+        Call::Soak(call) => play_soak(call),
         Call::Fleet(Fleet { logs, json }) => {
             let seen = fleet::Count::of(std::path::Path::new(&logs))?;
             if json {
@@ -276,3 +309,33 @@
         }
     }
 }
+
+fn play_soak(call: Soak) -> Result<bool, String> {
+    let within = (1..=9).contains(&call.core)
+        && (1..=400).contains(&call.edges)
+        && (2..=200).contains(&call.marshals)
+        && (1..=2_000).contains(&call.clients);
+    if !within {
+        return Err(
+            "1 to 9 machines of the core, 1 to 400 edges, 2 to 200 marshals, 1 to 2000 connections".into()
+        );
+    }
+    let own = std::env::current_exe().map_err(|problem| problem.to_string())?;
+    let program = call.program.unwrap_or_else(|| own.with_file_name("milletwing-system"));
+    let mut held = true;
+    for seed in call.seed..call.seed.saturating_add(call.seeds) {
+        let options = soak::Options {
+            program: program.clone(),
+            seed,
+            core: call.core,
+            edges: call.edges,
+            marshals: call.marshals,
+            clients: call.clients,
+            events: call.events,
+        };
+        let report = soak::run(&options)?;
+        held &= report.broken.is_empty();
+        println!("{}", serde_json::to_string(&report).map_err(|problem| problem.to_string())?);
+    }
+    Ok(held)
+}
--- a/crates/trials/src/measure.rs
+++ b/crates/trials/src/measure.rs
@@ -180,3 +180,19 @@
     });
     json!({ "entries": entries, "without_ns": without, "with_ns": with, "more": with / without - 1.0 })
 }
+
+/// The machine's memory in megabytes; 0 where it can't be told.
+pub fn total_memory_mb() -> u64 {
+    field_kb("/proc/meminfo", "MemTotal:").unwrap_or(0) / 1024
+}
+
+/// Resident memory of a process in kilobytes; nothing once it has ended.
+pub fn resident_kb(process: u32) -> Option<u64> {
+    field_kb(&format!("/proc/{process}/status"), "VmRSS:")
+}
+
+fn field_kb(path: &str, name: &str) -> Option<u64> {
+    let text = std::fs::read_to_string(path).ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix(name))?;
+    line.trim().trim_end_matches(" kB").parse().ok()
+}
--- /dev/null
+++ b/crates/trials/src/soak/marshals.rs
@@ -0,0 +1,268 @@
+//! Stand-ins of marshals: they run what they are sent, tell the core of themselves, leave in order and crash.
+
+use super::ledger::{Ledger, Run};
+use super::processes::{call, Role, Site, CONTROL};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, AUTHORIZATION};
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::HashSet;
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::{JoinHandle, JoinSet};
+
+/// Between two reports.
+const REPORT: Duration = Duration::from_millis(700);
+/// How long a marshal serves on after its leaving was acknowledged.
+const SERVES_ON: Duration = Duration::from_secs(3);
+/// What it works on at once, and beyond which it turns requests away.
+const SLOTS: usize = 16;
+const QUEUE: usize = 64;
+/// Bytes of a large answer.
+const LARGE: usize = 60_000;
+
+/// The body that a marshal's life gives to a request: whose answer it is can be told from it.
+pub fn body(id: &str, marshal: &str, large: bool) -> String {
+    let mut body = format!("{id} by {marshal}\n");
+    if large {
+        body.push_str(&"x".repeat(LARGE));
+    }
+    body
+}
+
+/// One life.
+struct Life {
+    name: String,
+    at_work: Arc<Mutex<HashSet<String>>>,
+    serving: JoinHandle<()>,
+    reporting: JoinHandle<()>,
+}
+
+/// All marshals.
+pub struct Fleet {
+    site: Arc<Site>,
+    ledger: Arc<Ledger>,
+    lives: Vec<Mutex<Option<Life>>>,
+    number: Mutex<u64>,
+}
+
+impl Fleet {
+    /// Starts so many, and waits until the core knows them. Errors: an address can't be had.
+    pub async fn start(
+        site: &Arc<Site>,
+        ledger: &Arc<Ledger>,
+        count: u32,
+        dice: &mut Pcg64Mcg,
+    ) -> Result<Arc<Fleet>, String> {
+        let lives = (0..count).map(|_| Mutex::default()).collect();
+        let fleet =
+            Fleet { site: Arc::clone(site), ledger: Arc::clone(ledger), lives, number: Mutex::default() };
+        let fleet = Arc::new(fleet);
+        for at in 0..count as usize {
+            fleet.come(at, dice.random()).await?;
+        }
+        Ok(fleet)
+    }
+
+    fn take(&self, at: usize) -> Option<Life> {
+        self.lives[at].lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+
+    /// A new life at an address, unless there is one. Errors: the address can't be had.
+    pub async fn come(&self, at: usize, seed: u64) -> Result<(), String> {
+        if self.lives[at].lock().unwrap_or_else(PoisonError::into_inner).is_some() {
+            return Ok(());
+        }
+        let name = {
+            let mut number = self.number.lock().unwrap_or_else(PoisonError::into_inner);
+            *number += 1;
+            format!("i-{at}-{number}")
+        };
+        let host = self.site.marshal(at as u32);
+        let address = self.site.at(host, 9_000);
+        let listener = listen(address.into()).await.map_err(|why| format!("{address}: {why}"))?;
+        let at_work = Arc::default();
+        let (zone, region) = self.site.zone(host);
+        let node = Node {
+            name: name.clone(),
+            region,
+            ledger: Arc::clone(&self.ledger),
+            at_work: Arc::clone(&at_work),
+            dice: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
+        };
+        let serving = tokio::spawn(serve(listener, Arc::new(node)));
+        let report = format!(
+            r#"{{"target":"s","address":"{address}","zone":"{zone}","revision":"v1","capacity":{SLOTS},"warmupLeftS":0,"state":"#
+        );
+        let (site, own) = (Arc::clone(&self.site), name.clone());
+        let reporting = tokio::spawn(async move {
+            for counter in 1.. {
+                tell(&site, &own, &report, "available", counter).await;
+                tokio::time::sleep(REPORT).await;
+            }
+        });
+        let life = Life { name, at_work, serving, reporting };
+        *self.lives[at].lock().unwrap_or_else(PoisonError::into_inner) = Some(life);
+        Ok(())
+    }
+
+    /// A marshal ends with all that it is at work on.
+    pub fn crash(&self, at: usize) {
+        let Some(life) = self.take(at) else { return };
+        life.reporting.abort();
+        let ids: Vec<String> =
+            life.at_work.lock().unwrap_or_else(PoisonError::into_inner).iter().cloned().collect();
+        self.ledger.cut(&life.name, &ids);
+        life.serving.abort();
+    }
+
+    /// A marshal says that it leaves, serves on, and ends.
+    pub async fn leave(&self, at: usize) {
+        let Some(life) = self.take(at) else { return };
+        life.reporting.abort();
+        let host = self.site.marshal(at as u32);
+        let report = format!(
+            r#"{{"target":"s","address":"{}","zone":"{}","revision":"v1","capacity":{SLOTS},"warmupLeftS":0,"state":"#,
+            self.site.at(host, 9_000),
+            self.site.zone(host).0
+        );
+        tell(&self.site, &life.name, &report, "draining", 1 << 40).await;
+        tokio::time::sleep(SERVES_ON).await;
+        let path = format!("/milletwing/nodes/{}", life.name);
+        for core in self.site.hosts(Role::Core) {
+            let answer = call(self.site.at(core, CONTROL), "DELETE", &path, "", "").await;
+            if answer.is_some_and(|(status, _)| status < 300) {
+                break;
+            }
+        }
+        let ids: Vec<String> =
+            life.at_work.lock().unwrap_or_else(PoisonError::into_inner).iter().cloned().collect();
+        self.ledger.cut(&life.name, &ids); // nobody acknowledged that it leaves: it ends all the same
+        life.serving.abort();
+    }
+
+    /// How many addresses there are.
+    pub fn count(&self) -> usize {
+        self.lives.len()
+    }
+
+    /// All end.
+    pub async fn stop(&self) {
+        (0..self.count()).for_each(|at| self.crash(at));
+    }
+}
+
+/// Takes an address that a life before may have left a moment ago.
+async fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(1_024)
+}
+
+/// Tells one machine of the core after the other until it is acknowledged; a round without gives up.
+async fn tell(site: &Site, name: &str, report: &str, state: &str, counter: u64) {
+    let text = format!("{report}\"{state}\",\"callCounter\":{counter}}}");
+    let path = format!("/milletwing/nodes/{name}");
+    let hosts = site.hosts(Role::Core);
+    let first = counter as usize % hosts.len();
+    for core in hosts.iter().cycle().skip(first).take(hosts.len() * 2) {
+        let answer =
+            call(site.at(*core, CONTROL), "PUT", &path, "Content-Type: application/json\r\n", &text).await;
+        if answer.is_some_and(|(status, _)| status < 300) {
+            return;
+        }
+    }
+}
+
+struct Node {
+    name: String,
+    region: &'static str,
+    ledger: Arc<Ledger>,
+    at_work: Arc<Mutex<HashSet<String>>>,
+    dice: Mutex<Pcg64Mcg>,
+}
+
+async fn serve(listener: TcpListener, node: Arc<Node>) {
+    let mut connections = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let node = Arc::clone(&node);
+        let service = service_fn(move |request| {
+            let node = Arc::clone(&node);
+            async move { Ok::<_, Infallible>(node.answer(request).await) }
+        });
+        connections.spawn(async move {
+            let serving =
+                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let _ = serving.await; // the caller's concern
+        });
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+fn word(headers: &HeaderMap, name: &str) -> Option<String> {
+    Some(headers.get(name)?.to_str().ok()?.to_owned())
+}
+
+fn answer(status: u16, fields: &[(&str, &str)], body: String) -> Response<Full<Bytes>> {
+    let mut builder = Response::builder().status(status);
+    for (name, value) in fields {
+        builder = builder.header(*name, *value);
+    }
+    builder.body(Full::new(Bytes::from(body))).unwrap_or_default()
+}
+
+impl Node {
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let path = request.uri().path().to_owned();
+        if path == "/health" {
+            return answer(200, &[("x-milletwing-node-id", &self.name)], String::new());
+        }
+        let headers = request.headers().clone();
+        let id = word(&headers, "x-milletwing-attempt-id").unwrap_or_default();
+        if word(&headers, "x-milletwing-target-node").is_some_and(|target| target != self.name) {
+            return answer(421, &[("x-milletwing-node-id", &self.name)], String::new());
+        }
+        let full = self.at_work.lock().unwrap_or_else(PoisonError::into_inner).len() >= SLOTS + QUEUE;
+        if full {
+            return answer(
+                503,
+                &[("x-milletwing-not-executed", "1"), ("x-milletwing-attempt-id", &id)],
+                String::new(),
+            );
+        }
+        if request.into_body().collect().await.is_err() {
+            return answer(400, &[("x-milletwing-not-executed", "1")], String::new());
+        }
+        let run = Run {
+            marshal: self.name.clone(),
+            region: self.region,
+            subscriber: word(&headers, "x-milletwing-subscriber"),
+            key: headers.contains_key(AUTHORIZATION),
+            cut: false,
+        };
+        self.at_work.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
+        self.ledger.ran(&id, run);
+        let work = {
+            let mut dice = self.dice.lock().unwrap_or_else(PoisonError::into_inner);
+            // Mostly short, now and then so long that a signal comes meanwhile.
+            if dice.random_bool(0.05) {
+                dice.random_range(200..900)
+            } else {
+                dice.random_range(1..30)
+            }
+        };
+        tokio::time::sleep(Duration::from_millis(work)).await;
+        self.at_work.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
+        let fields =
+            [("x-milletwing-attempt-id", id.as_str()), ("x-milletwing-server-seal", self.name.as_str())];
+        answer(200, &fields, body(&id, &self.name, path.starts_with("/big/")))
+    }
+}
--- /dev/null
+++ b/crates/trials/src/soak/schedule.rs
@@ -0,0 +1,165 @@
+//! What happens, as the seed draws it: one thing after the other, mostly before the one before is over.
+
+use super::ledger::Ledger;
+use super::marshals::Fleet;
+use super::processes::{Role, Site};
+use super::Options;
+use rand::seq::SliceRandom;
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use rustix::process::Signal;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Something that happens.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    TermEdges,
+    KillEdges,
+    StillEdges,
+    HupEdges,
+    TermCore,
+    KillCore,
+    KillWholeCore,
+    StillCore,
+    GoOn,
+    MarshalLeaves,
+    MarshalCrashes,
+    SettingsWithoutSignal,
+}
+
+const EVENTS: [(Event, u32); 12] = [
+    (Event::TermEdges, 8),
+    (Event::KillEdges, 3),
+    (Event::StillEdges, 2),
+    (Event::HupEdges, 4),
+    (Event::TermCore, 2),
+    (Event::KillCore, 2),
+    (Event::KillWholeCore, 1),
+    (Event::StillCore, 2),
+    (Event::GoOn, 5),
+    (Event::MarshalLeaves, 4),
+    (Event::MarshalCrashes, 2),
+    (Event::SettingsWithoutSignal, 1),
+];
+
+/// Requests that end between two things, for each client at most; and how long is waited for them.
+const BETWEEN: u64 = 8;
+const WAITS: Duration = Duration::from_millis(900);
+/// One in so many things comes at once after the one before.
+const AT_ONCE: f64 = 0.35;
+/// Between two looks at processes that have ended.
+const TEND: Duration = Duration::from_millis(25);
+
+/// Plays all. Gives how often each thing happened.
+pub async fn play(
+    site: &Arc<Site>,
+    ledger: &Arc<Ledger>,
+    marshals: &Arc<Fleet>,
+    options: &Options,
+    dice: &mut Pcg64Mcg,
+) -> BTreeMap<String, u64> {
+    let tending = tokio::spawn(tend(Arc::clone(site)));
+    let looking = tokio::spawn(look(Arc::clone(site)));
+    let mut counts = BTreeMap::new();
+    for _ in 0..options.events {
+        let event = draw(dice);
+        if happen(event, site, marshals, dice) {
+            *counts.entry(format!("{event:?}")).or_default() += 1;
+        }
+        if !dice.random_bool(AT_ONCE) {
+            let answers = ledger.answers() + dice.random_range(1..BETWEEN * u64::from(options.clients));
+            let _ = tokio::time::timeout(WAITS, ledger.until(answers)).await; // a system at rest holds nothing up
+        }
+    }
+    tending.abort();
+    looking.abort();
+    counts
+}
+
+async fn tend(site: Arc<Site>) {
+    loop {
+        site.tend();
+        tokio::time::sleep(TEND).await;
+    }
+}
+
+/// Looks again and again which configuration edges route by.
+async fn look(site: Arc<Site>) {
+    loop {
+        for host in site.hosts(Role::Edge) {
+            site.look(&[host]).await;
+        }
+        tokio::time::sleep(TEND).await;
+    }
+}
+
+fn draw(dice: &mut Pcg64Mcg) -> Event {
+    let whole: u32 = EVENTS.iter().map(|(_, weight)| weight).sum();
+    let mut at = dice.random_range(0..whole);
+    for (event, weight) in EVENTS {
+        if at < weight {
+            return event;
+        }
+        at -= weight;
+    }
+    Event::GoOn
+}
+
+/// Some hosts of a role: one at least, a part at most.
+fn some(site: &Site, role: Role, part: f64, dice: &mut Pcg64Mcg) -> Vec<u32> {
+    let mut hosts = site.hosts(role);
+    hosts.shuffle(dice);
+    let most = ((hosts.len() as f64 * part) as usize).max(1);
+    hosts.truncate(dice.random_range(1..=most));
+    hosts
+}
+
+/// Does it. Gives whether it could be done.
+fn happen(event: Event, site: &Arc<Site>, marshals: &Arc<Fleet>, dice: &mut Pcg64Mcg) -> bool {
+    let send = |hosts: Vec<u32>, signal: Signal| {
+        hosts.into_iter().filter(|host| site.signal(*host, signal)).count() > 0
+    };
+    match event {
+        Event::TermEdges => send(some(site, Role::Edge, 0.5, dice), Signal::TERM),
+        Event::KillEdges => send(some(site, Role::Edge, 0.3, dice), Signal::KILL),
+        Event::StillEdges => site.still().len() < 3 && send(some(site, Role::Edge, 0.2, dice), Signal::STOP),
+        Event::HupEdges => {
+            let hosts = some(site, Role::Edge, 0.5, dice);
+            hosts.iter().all(|host| site.settle(Role::Edge, *host, false, dice.random_range(0..9)).is_ok())
+                && send(hosts, Signal::HUP)
+        }
+        Event::TermCore => send(some(site, Role::Core, 0.34, dice), Signal::TERM),
+        Event::KillCore => send(some(site, Role::Core, 0.34, dice), Signal::KILL),
+        Event::KillWholeCore => send(site.hosts(Role::Core), Signal::KILL),
+        Event::StillCore => {
+            let core = site.hosts(Role::Core);
+            let still = site.still().iter().filter(|host| core.contains(host)).count();
+            still == 0 && send(some(site, Role::Core, 0.34, dice), Signal::STOP)
+        }
+        Event::GoOn => {
+            let still = site.still();
+            !still.is_empty() && send(still, Signal::CONT)
+        }
+        Event::MarshalLeaves => anew(marshals, dice, true),
+        Event::MarshalCrashes => anew(marshals, dice, false),
+        Event::SettingsWithoutSignal => some(site, Role::Edge, 0.3, dice)
+            .into_iter()
+            .all(|host| site.settle(Role::Edge, host, false, dice.random_range(0..9)).is_ok()),
+    }
+}
+
+/// A marshal leaves, or crashes, and another comes at its address.
+fn anew(marshals: &Arc<Fleet>, dice: &mut Pcg64Mcg, in_order: bool) -> bool {
+    let (fleet, at, seed) = (Arc::clone(marshals), dice.random_range(0..marshals.count()), dice.random());
+    tokio::spawn(async move {
+        if in_order {
+            fleet.leave(at).await;
+        } else {
+            fleet.crash(at);
+        }
+        let _ = fleet.come(at, seed).await; // another may have come there meanwhile
+    });
+    true
+}
