--- a/crates/system/src/main.rs
+++ b/crates/system/src/main.rs
@@ -175,9 +175,12 @@
     std::fs::read_to_string(path).map_err(|problem| format!("{path}: {problem}"))
 }
 
-/// Reads the settings, starts the log, and listens for signals: SIGTERM ends, SIGHUP changes nothing by itself, since the
+/// Listens for signals, starts the log, and reads the settings: SIGTERM ends, SIGHUP changes nothing by itself, since the
 /// file is watched.
 fn begin(given: &ArgMatches) -> Result<(Settings, PathBuf, milletwing_edge_proxy::Leave), String> {
+    // First of all: a signal that comes before it is listened for would end the process as if it had failed.
+    let mut term = signal(SignalKind::terminate()).map_err(|problem| problem.to_string())?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|problem| problem.to_string())?;
     milletwing_config::event::start(&std::env::var("MILLETWING_LOG").unwrap_or_default());
     let path = match given.get_one::<String>("settings") {
         Some(path) => PathBuf::from(path),
@@ -187,8 +190,6 @@
     };
     let text = std::fs::read_to_string(&path).map_err(|problem| format!("{}: {problem}", path.display()))?;
     let settings = Settings::read(&text).map_err(|problem| format!("{}: {problem}", path.display()))?;
-    let mut term = signal(SignalKind::terminate()).map_err(|problem| problem.to_string())?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(|problem| problem.to_string())?;
     tokio::task::spawn_local(async move { while hangup.recv().await.is_some() {} });
     let leave = Box::pin(async move {
         term.recv().await;
--- /dev/null
+++ b/crates/trials/tests/soak.rs
@@ -0,0 +1,61 @@
+//! What the judge of a soak finds in a request's history.
+
+use milletwing_trials::soak::{Outcome, Record, Run};
+
+fn run() -> Run {
+    Run { marshal: "i-1".into(), region: "north", subscriber: Some("t".into()), key: false, cut: false }
+}
+
+fn record(runs: Vec<Run>, outcome: Outcome) -> Record {
+    Record { order: true, tenant: Some("t"), homes: &["north"], edge: (20, 1), runs, outcome: Some(outcome) }
+}
+
+fn answered(status: u16) -> Outcome {
+    Outcome::Answered(status, (status == 200).then(|| "i-1".into()), status == 200)
+}
+
+#[test]
+fn each_rule_is_found_and_nothing_else() {
+    let cut = Run { cut: true, ..run() };
+    let sound = [
+        record(vec![run()], answered(200)),
+        record(vec![], answered(503)),
+        record(vec![run()], answered(502)),
+        record(vec![run()], answered(504)),
+        record(vec![], Outcome::Unsent),
+        record(vec![], Outcome::Closed),
+        record(vec![cut], Outcome::Closed),
+        Record { order: false, ..record(vec![run(), run()], answered(200)) },
+        Record { outcome: None, ..record(vec![run()], Outcome::Closed) },
+    ];
+    for record in sound {
+        assert_eq!(record.broken(false), None, "{record:?}");
+    }
+    let other = |mut run: Run, change: fn(&mut Run)| {
+        change(&mut run);
+        vec![run]
+    };
+    let broken = [
+        ("TWICE", record(vec![run(), run()], answered(200))),
+        ("REFUSED", record(vec![run()], answered(503))),
+        ("REFUSED", record(vec![run()], answered(421))),
+        ("DENIED", record(vec![], answered(401))),
+        ("DENIED", record(vec![], answered(404))),
+        ("HOME", record(other(run(), |run| run.region = "south"), answered(200))),
+        ("UNASKED", record(other(run(), |run| run.key = true), answered(200))),
+        ("UNASKED", record(other(run(), |run| run.subscriber = None), answered(200))),
+        ("UNASKED", record(vec![run()], Outcome::Unsent)),
+        ("MIXED", record(other(run(), |run| run.marshal = "i-2".into()), answered(200))),
+        ("MIXED", record(vec![run()], Outcome::Answered(200, Some("i-1".into()), false))),
+        ("MIXED", record(vec![run()], Outcome::Answered(200, None, true))),
+        ("LOST", record(vec![run()], Outcome::Closed)),
+        ("LATE", record(vec![], Outcome::Silent)),
+    ];
+    for (rule, record) in broken {
+        assert_eq!(record.broken(false), Some(rule), "{record:?}");
+    }
+    // Of an edge that was killed or stood still neither an answer nor its time is asked.
+    assert_eq!(record(vec![run()], Outcome::Closed).broken(true), None);
+    assert_eq!(record(vec![], Outcome::Silent).broken(true), None);
+    assert_eq!(record(vec![run(), run()], Outcome::Closed).broken(true), Some("TWICE"));
+}
