--- a/crates/trials/src/soak.rs
+++ b/crates/trials/src/soak.rs
@@ -84,6 +84,7 @@
     let ledger = Arc::new(Ledger::default());
     let site = Arc::new(Site::new(options, Arc::clone(&ledger))?);
     site.start_all()?;
+    let tending = tokio::spawn(schedule::tend(Arc::clone(&site)));
     let marshals = marshals::Fleet::start(&site, &ledger, options.marshals, &mut dice).await?;
     let operator = operator::Operator::start(&site, &ledger, options.seed).await?;
     site.serving(options.edges, CALM).await?;
@@ -95,6 +96,7 @@
     clients.stop().await;
     marshals.stop().await;
     let resident_mb = site.resident_mb();
+    tending.abort();
     let broken = ledger.judge();
     let logs = site.end(broken.is_empty());
     let totals = ledger.totals();
--- a/crates/trials/src/soak/processes.rs
+++ b/crates/trials/src/soak/processes.rs
@@ -5,6 +5,7 @@
 use rustix::process::{kill_process, Pid, Signal};
 use std::collections::BTreeMap;
 use std::fs::File;
+use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
@@ -69,6 +70,7 @@
     edges: u32,
     machines: Mutex<BTreeMap<u32, Machine>>,
     starts: Mutex<u64>,
+    began: Instant,
     ledger: Arc<Ledger>,
 }
 
@@ -84,6 +86,7 @@
             edges: options.edges,
             machines: Mutex::default(),
             starts: Mutex::default(),
+            began: Instant::now(),
             ledger,
         })
     }
@@ -172,8 +175,16 @@
         Ok(path)
     }
 
+    /// A line in the soak's own log, with milliseconds from its start: what was done to whom.
+    fn note(&self, what: &str) {
+        let line = format!("{:>7} {what}\n", self.began.elapsed().as_millis());
+        let log = File::options().create(true).append(true).open(self.folder.path().join("soak.log"));
+        let _ = log.and_then(|mut log| log.write_all(line.as_bytes())); // the judge doesn't need it
+    }
+
     fn start(&self, role: Role, host: u32, first: bool) -> Result<(), String> {
-        let settings = self.settle(role, host, first, host)?;
+        // At the very first start all are told the same seeds; later lists may differ.
+        let settings = self.settle(role, host, first, if first { 0 } else { host })?;
         let log = self.folder.path().join(format!("{}-{host}.log", role.word()));
         let log = File::options().create(true).append(true).open(log).map_err(|why| why.to_string())?;
         let child = Command::new(&self.program)
@@ -189,6 +200,7 @@
         let life = machines.get(&host).map_or(0, |machine| machine.life) + 1;
         let machine = Machine { role, child: Some(child), life, leaves: None, killed: false, still: false };
         machines.insert(host, machine);
+        self.note(&format!("starts {host}, life {life}"));
         *self.starts.lock().unwrap_or_else(PoisonError::into_inner) += 1;
         Ok(())
     }
@@ -218,6 +230,7 @@
             Signal::CONT => machine.still = false,
             _ => {}
         }
+        self.note(&format!("{signal:?} to {host}, life {}", machine.life));
         if matches!(signal, Signal::KILL | Signal::STOP) {
             self.ledger.harmed((host, machine.life));
         }
@@ -252,6 +265,7 @@
 
     fn note_end(&self, host: u32, machine: &mut Machine, status: ExitStatus) {
         machine.child = None;
+        self.note(&format!("ended {host}, life {}: {status}", machine.life));
         // One that was told to end as it started ends by the signal itself.
         let in_order = status.success() || status.signal() == Some(Signal::TERM.as_raw());
         let asked = machine.killed || (machine.leaves.is_some() && in_order);
--- a/crates/trials/src/soak/schedule.rs
+++ b/crates/trials/src/soak/schedule.rs
@@ -60,7 +60,6 @@
     options: &Options,
     dice: &mut Pcg64Mcg,
 ) -> BTreeMap<String, u64> {
-    let tending = tokio::spawn(tend(Arc::clone(site)));
     let looking = tokio::spawn(look(Arc::clone(site)));
     let mut counts = BTreeMap::new();
     for _ in 0..options.events {
@@ -73,12 +72,12 @@
             let _ = tokio::time::timeout(WAITS, ledger.until(answers)).await; // a system at rest holds nothing up
         }
     }
-    tending.abort();
     looking.abort();
     counts
 }
 
-async fn tend(site: Arc<Site>) {
+/// Starts again what has ended, for as long as the soak lasts.
+pub async fn tend(site: Arc<Site>) {
     loop {
         site.tend();
         tokio::time::sleep(TEND).await;
