--- a/crates/marshal/tests/whole/outside.rs
+++ b/crates/marshal/tests/whole/outside.rs
@@ -158,6 +158,8 @@
         })
         .collect();
     let served: usize = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    // The last is counted once it is written, which its client may see first.
+    until("all are counted", || format!("{}", world.server.book()).contains(&format!("served {served} ")));
     let book = format!("{}", world.server.book());
     assert!(book.contains("taken 400 ") && book.contains("defects 0"), "{book}");
     assert!(served > 0 && book.contains(&format!("served {served} ")), "{book}");
