Checking a configuration stands above reading one, as imports run; the soak's sums once

Change: Configuration::read is implemented where the check is; the soak's report holds its totals instead of naming them again.

--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -2,7 +2,6 @@
 //! stands in `validity`.
 
 use crate::kind::Kind;
-use crate::validity;
 use prost::Message;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -157,14 +156,6 @@
 }
 
 impl Configuration {
-    /// Reads and checks a configuration that is to be taken. Errors: it can't be read, or the first thing that makes it
-    /// invalid.
-    pub fn read(bytes: &[u8]) -> Result<Configuration, Kind> {
-        let configuration = Configuration::decode(bytes)?;
-        validity::check(&configuration)?;
-        Ok(configuration)
-    }
-
     /// Reads a configuration without checking it: one that was agreed holds, whatever is refused before it is agreed today.
     /// Errors: the bytes are none.
     pub fn decode(bytes: &[u8]) -> Result<Configuration, Kind> {
--- a/crates/config/src/validity.rs
+++ b/crates/config/src/validity.rs
@@ -12,8 +12,18 @@
 /// A route's aim lies less than so many seconds over its guard.
 const AIM_OVER_GUARD_S: f64 = 60.0;
 
+impl Configuration {
+    /// Reads and checks a configuration that is to be taken. Errors: it can't be read, or the first thing that makes it
+    /// invalid.
+    pub fn read(bytes: &[u8]) -> Result<Configuration, Kind> {
+        let configuration = Configuration::decode(bytes)?;
+        check(&configuration)?;
+        Ok(configuration)
+    }
+}
+
 /// Checks a whole configuration. Errors: the first thing that is wrong, with the entry's name.
-pub fn check(configuration: &Configuration) -> Result<(), Kind> {
+fn check(configuration: &Configuration) -> Result<(), Kind> {
     for (name, route) in &configuration.routing {
         services(name, route, configuration)?;
         form(name, route)?;
--- a/crates/system/tests/soak.rs
+++ b/crates/system/tests/soak.rs
@@ -27,6 +27,6 @@
             report.broken,
             report.logs
         );
-        assert!(report.served > report.requests / 4, "{report:?}");
+        assert!(report.totals.served > report.totals.requests / 4, "{report:?}");
     }
 }
--- a/crates/trials/src/soak.rs
+++ b/crates/trials/src/soak.rs
@@ -9,7 +9,7 @@
 mod processes;
 mod schedule;
 
-pub use ledger::{Broken, Outcome, Record, Run};
+pub use ledger::{Broken, Outcome, Record, Run, Totals};
 
 use crate::measure;
 use ledger::Ledger;
@@ -45,18 +45,9 @@
 pub struct Report {
     /// The seed, to play it again.
     pub seed: u64,
-    /// Requests that clients sent, and those of them that were served.
-    pub requests: u64,
-    /// Served.
-    pub served: u64,
-    /// Refused with the promise that they have not run.
-    pub refused: u64,
-    /// Connections that ended under a request.
-    pub closed: u64,
-    /// Configurations that were acknowledged.
-    pub configurations: u64,
-    /// Invalid ones that were refused.
-    pub invalid: u64,
+    /// Sums.
+    #[serde(flatten)]
+    pub totals: Totals,
     /// What happened, by its name.
     pub events: std::collections::BTreeMap<String, u64>,
     /// Processes started.
@@ -99,15 +90,9 @@
     tending.abort();
     let broken = ledger.judge();
     let logs = site.end(broken.is_empty());
-    let totals = ledger.totals();
     Ok(Report {
         seed: options.seed,
-        requests: totals.requests,
-        served: totals.served,
-        refused: totals.refused,
-        closed: totals.closed,
-        configurations: totals.configurations,
-        invalid: totals.invalid,
+        totals: ledger.totals(),
         events,
         starts: site.starts(),
         resident_mb,
--- a/crates/trials/src/soak/ledger.rs
+++ b/crates/trials/src/soak/ledger.rs
@@ -64,13 +64,13 @@
 }
 
 /// Sums for the report.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Totals {
     /// Requests sent.
     pub requests: u64,
     /// Served.
     pub served: u64,
-    /// Refused with a promise.
+    /// Refused with the promise that they have not run.
     pub refused: u64,
     /// Connections that ended under them.
     pub closed: u64,
