A test that an edge out of touch refuses no key for good

Cause: the line that guards it had no test. Change: outage.rs, as for routes. Result: passes; fails where arrive answers UnknownKey whatever was heard.

--- a/crates/routing/tests/outage.rs
+++ b/crates/routing/tests/outage.rs
@@ -119,3 +119,27 @@
     router.heard(9_000);
     assert_eq!(refused(&mut router, 9_100), Kind::NoRoute);
 }
+
+/// A key that is not known may be a newer one.
+#[test]
+fn an_edge_that_lost_the_core_refuses_no_key_for_good() {
+    let mut view = view(1);
+    let text = String::from_utf8(common::body(2)).unwrap();
+    let text = text.replacen(
+        "\"thresholds\"",
+        "\"subscribers\":{\"t\":{\"credentials\":[\"known\"]}},\"thresholds\"",
+        1,
+    );
+    let command = view.to_configure(2, text.as_bytes()).unwrap();
+    view.apply(9, &command);
+    let mut router = edge(0, &view, 9, 1);
+    let come = |router: &mut Router, now, key| {
+        let head = Head { host: "h.example", path: "/look/", remaining: None, key: Some(key) };
+        router.arrive(now, head).map(|ticket| ticket.tenant.map(|tenant| tenant.name.to_string()))
+    };
+    assert_eq!(come(&mut router, 3_000, "newer").unwrap_err(), Kind::UnknownKey);
+    assert_eq!(come(&mut router, 9_000, "newer").unwrap_err(), Kind::OutOfTouch);
+    assert_eq!(come(&mut router, 9_000, "known").unwrap(), Some("t".into()), "what is known still counts");
+    router.heard(9_000);
+    assert_eq!(come(&mut router, 9_100, "newer").unwrap_err(), Kind::UnknownKey);
+}
