--- a/review/standins/src/bin/upload.rs
+++ b/review/standins/src/bin/upload.rs
@@ -5,8 +5,8 @@
 use std::io::{BufReader, Write};
 use std::sync::{Arc, Mutex};
 
-/// Bytes of an order's body: an artwork or an export that is attached. `maxBodyBytes` is 64 MiB.
-const SIZE: usize = 250_000;
+/// Bytes of an order's body, by turns: an artwork or an export that is attached. `maxBodyBytes` is 64 MiB.
+const SIZES: [usize; 2] = [250_000, 1_000_000];
 /// Milliseconds after which a marshal reads the body of an order on `/sign/late`; the route and the client allow 6,000.
 const LATE: u64 = 2_000;
 
@@ -52,20 +52,20 @@
     site.ready(20);
     let to = site.at(20, INGRESS);
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
-    let order = |id: String, path: &str| {
+    let order = |id: String, path: &str, size: usize| {
         let (path, record, sent) = (path.to_owned(), record.clone(), Arc::clone(&sent));
         std::thread::spawn(move || {
             let at = record.now();
             let text = format!(
-                "POST {path} HTTP/1.1\r\nHost: jepu9.example\r\nX-Milletwing-Attempt-Id: {id}\r\nX-Milletwing-Remaining-Ms: 6000\r\nContent-Length: {SIZE}\r\n\r\n"
+                "POST {path} HTTP/1.1\r\nHost: jepu9.example\r\nX-Milletwing-Attempt-Id: {id}\r\nX-Milletwing-Remaining-Ms: 6000\r\nContent-Length: {size}\r\n\r\n"
             );
             let mut whole = text.into_bytes();
-            whole.resize(whole.len() + SIZE, b'a');
+            whole.resize(whole.len() + size, b'a');
             let end = match connect(to, 6.0) {
                 None => Err("no connection".to_owned()),
                 Some(mut stream) => {
                     let wrote = stream.write_all(&whole);
-                    record.line(&format!("client has sent {id} {path}, {SIZE} bytes"));
+                    record.line(&format!("client has sent {id} {path}, {size} bytes"));
                     let answer = wrote.and_then(|()| read_answer(&mut BufReader::new(stream)));
                     answer
                         .map(|it| (it.status, it.field("X-Milletwing-Server-Seal").is_some()))
@@ -85,7 +85,7 @@
     sleep(3.0);
     let mut clients = Vec::new();
     for at in 0..24 {
-        clients.push(order(format!("calm-{at}"), "/sign/entry"));
+        clients.push(order(format!("calm-{at}"), "/sign/entry", SIZES[at % 2]));
         sleep(0.25);
     }
     clients.drain(..).for_each(|it| drop(it.join()));
@@ -95,7 +95,7 @@
     }
     // Not judged, for the record: the same pause in calm, behind an answer that was given before the body was read.
     for at in 0..4 {
-        clients.push(order(format!("early-{at}"), "/sign/early"));
+        clients.push(order(format!("early-{at}"), "/sign/early", SIZES[at % 2]));
         sleep(0.08);
     }
     clients.drain(..).for_each(|it| drop(it.join()));
@@ -106,7 +106,7 @@
     // Clients hold a resolution for ttl_max_s (5 s) or longer, so that they go on to come here.
     sleep(0.3);
     for at in 0..8 {
-        clients.push(order(format!("late-{at}"), "/sign/late"));
+        clients.push(order(format!("late-{at}"), "/sign/late", SIZES[at % 2]));
         sleep(0.08);
     }
     clients.drain(..).for_each(|it| drop(it.join()));
@@ -140,6 +140,6 @@
             other => record.line(&format!("{}: {other:?}", it.id)),
         }
     }
-    let what = format!("orders of {SIZE} bytes: {served} served, {refused} refused unrun, {lost} passed on and broken off by the edge");
+    let what = format!("orders of 250,000 and 1,000,000 bytes: {served} served, {refused} refused unrun, {lost} passed on and broken off by the edge");
     verdict(&record, lost > 0, &what)
 }
