A connection to a marshal that breaks says whose verdict it was (M164)

An edge that ended a sending as broken told neither whether the marshal had reset the connection nor whether its own network had given the marshal up: the hypotheses for orders cut behind late readers could not be told apart.

M164, at debug, names the request, the marshal and the cause below all others.

--- a/crates/config/src/event.rs
+++ b/crates/config/src/event.rs
@@ -55,6 +55,7 @@
     "M161" TryEnded Debug "one sending of a request ended badly, with id, marshal and cause",
     "M162" NodeAvoided Info "a marshal can't be reached: avoided for a while",
     "M163" Suspected Info "a marshal is taken out as edges find it gone, looked at, or back",
+    "M164" ConnectionBroken Debug "a connection to a marshal ended under a request, with id, marshal and the network's own word",
     "M170" Drifted Warn "an edge routes by something else than what was agreed: which, since when, and how it shows",
     "M171" Repairs Warn "a step to bring a drifted edge back, as agreed or as the edge takes it",
     "M172" Recovered Info "an edge that had drifted routes by what was agreed again",
--- a/crates/edge-proxy/src/attempt.rs
+++ b/crates/edge-proxy/src/attempt.rs
@@ -10,9 +10,11 @@
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Uri, Version};
+use milletwing_config::event;
 use milletwing_routing::table::Route;
 use milletwing_routing::{Load, Result as Ended, Sending, Time};
 use std::collections::VecDeque;
+use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -153,7 +155,10 @@
                     fresh = true;
                 }
                 Some(_) => return Err(Ended::Unreached),
-                None => return Err(Ended::Broken),
+                None => {
+                    event!(ConnectionBroken, "{id} at {}: {}", sending.id, root_cause(problem.error()));
+                    return Err(Ended::Broken);
+                }
             },
         }
     };
@@ -192,6 +197,15 @@
     Ok((result, Answer { response, body, lease, keep, exact }))
 }
 
+/// The error below all others: "timed out" is this machine's own verdict, "reset" its peer's.
+fn root_cause(problem: &dyn Error) -> &dyn Error {
+    let mut cause = problem;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause
+}
+
 /// Gives a marshal's answer to the client, as it is.
 pub fn deliver(edge: &Rc<Edge>, answer: Answer, route: &Rc<Route>) -> Response<Out> {
     let Answer { response, body, lease, keep, exact } = answer;
