A body that its marshal answered early comes to its end

Cause: the client's connection was called idle once the answer was out, though the request's body still came; the bound on idle connections ended it. Ruled out: the bound on unacknowledged bytes; with it lifted the body broke off all the same.

Change: an exchange lasts until the answer and the request's body have both ended. The body of a request has the time of the request: without the idle bound nothing else would end one that stops.

--- a/crates/edge-proxy/src/attempt.rs
+++ b/crates/edge-proxy/src/attempt.rs
@@ -1,19 +1,18 @@
 //! One sending of a request to a marshal: its connection, the checks of the answer, and the answer's way to the client.
 
-use crate::body::{gather, join, Carry, Cut, Gathered};
+use crate::body::{gather, join, Carry, Cut, Gathered, Upload};
 use crate::edge::Edge;
 use crate::headers::{closes, strip, told_keep_alive, ATTEMPT, LOAD, NOT_EXECUTED, REMAINING, SEAL, TARGET};
 use crate::out::{Out, Streamed};
 use crate::pool::{Lease, NoLease};
 use bytes::Bytes;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Uri, Version};
 use milletwing_config::event;
 use milletwing_routing::table::Route;
 use milletwing_routing::{Load, Result as Ended, Sending, Time};
-use std::collections::VecDeque;
 use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,7 +25,7 @@
 /// A request's body, for one sending or for several.
 pub enum Source {
     Whole(Bytes),
-    Once(Option<(VecDeque<Bytes>, Incoming, u64)>),
+    Once(Option<Box<Upload>>),
 }
 
 impl Source {
@@ -38,7 +37,7 @@
     fn carry(&mut self) -> Option<Carry> {
         match self {
             Source::Whole(bytes) => Some(Carry::Whole((!bytes.is_empty()).then(|| bytes.clone()))),
-            Source::Once(parts) => parts.take().map(|(head, rest, room)| Carry::Stream { head, rest, room }),
+            Source::Once(upload) => upload.take().map(Carry::Stream),
         }
     }
 }
--- a/crates/edge-proxy/src/front.rs
+++ b/crates/edge-proxy/src/front.rs
@@ -4,7 +4,7 @@
 use crate::edge::Edge;
 use crate::out::Out;
 use crate::relay;
-use crate::watched::{At, Notes, Watched};
+use crate::watched::{Exchange, Notes, Watched};
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::header::{self, HeaderName, HeaderValue};
@@ -32,16 +32,10 @@
 /// later it does, so that a request already on its way is still taken.
 const KEEP: (&str, Duration) = ("timeout=2", Duration::from_secs(3));
 
-/// An answer's body; once it is gone the connection waits for the next head.
+/// An answer's body; once it is gone, and the request's too, the connection waits for the next head.
 struct Until {
     out: Out,
-    notes: Rc<Notes>,
-}
-
-impl Drop for Until {
-    fn drop(&mut self) {
-        self.notes.at.set(At::Idle);
-    }
+    _exchange: Rc<Exchange>,
 }
 
 impl Body for Until {
@@ -121,17 +115,17 @@
     let serving = Rc::clone(&edge);
     let service = service_fn(move |request| {
         let (edge, notes) = (Rc::clone(&serving), Rc::clone(&notes));
-        notes.at.set(At::Request);
+        let exchange = Exchange::begin(&notes);
         // On the heap: a connection that waits holds a pointer, not room for a whole request's states.
         Box::pin(async move {
-            let mut answer = relay::answer(edge, request, &notes).await;
+            let mut answer = relay::answer(edge, request, &exchange).await;
             // Not where the operator's `idleGuardS` is shorter still, or the connection ends with this answer.
             if idle >= KEEP.1 && !answer.headers().contains_key(header::CONNECTION) {
                 answer
                     .headers_mut()
                     .insert(HeaderName::from_static("keep-alive"), HeaderValue::from_static(KEEP.0));
             }
-            Ok::<_, Infallible>(answer.map(|out| Until { out, notes }))
+            Ok::<_, Infallible>(answer.map(|out| Until { out, _exchange: exchange }))
         })
     });
     let connection = hyper::server::conn::http1::Builder::new()
--- a/crates/edge-proxy/src/relay.rs
+++ b/crates/edge-proxy/src/relay.rs
@@ -2,12 +2,12 @@
 //! checked, clocks run.
 
 use crate::attempt::{deliver, left, send, Answer, Done, Source};
-use crate::body::{gather, join, Gathered};
+use crate::body::{gather, join, Gathered, Upload};
 use crate::edge::Edge;
 use crate::headers::{introduce, key, strip, ATTEMPT, KEY_SCHEME, REMAINING};
 use crate::out::Out;
 use crate::validation::check;
-use crate::watched::Notes;
+use crate::watched::Exchange;
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use hyper::body::Incoming;
@@ -20,6 +20,7 @@
 use milletwing_routing::{Head, Result as Ended, Sending, Ticket};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Seconds after which a client may come back elsewhere, where other machines have room.
 const ELSEWHERE_S: f64 = 0.02;
@@ -34,12 +35,12 @@
     }
 }
 
-/// Answers a request. `notes`: what was noticed of its bytes.
-pub async fn answer(edge: Rc<Edge>, request: Request<Incoming>, notes: &Notes) -> Response<Out> {
+/// Answers a request.
+pub async fn answer(edge: Rc<Edge>, request: Request<Incoming>, exchange: &Rc<Exchange>) -> Response<Out> {
     edge.requests.set(edge.requests.get() + 1);
     let counted = Counted(Rc::clone(&edge));
     let begun = tokio::time::Instant::now();
-    let result = relay(&edge, request, notes).await;
+    let result = relay(&edge, request, exchange).await;
     drop(counted);
     let mut response = match result {
         Ok((response, class)) => {
@@ -104,12 +105,16 @@
 }
 
 /// Checks a request, finds its route, and takes its body as far as it is kept for further sendings.
-async fn prepare(edge: &Rc<Edge>, request: Request<Incoming>, notes: &Notes) -> Result<Prepared, Refusal> {
+async fn prepare(
+    edge: &Rc<Edge>,
+    request: Request<Incoming>,
+    exchange: &Rc<Exchange>,
+) -> Result<Prepared, Refusal> {
     let (mut parts, body) = request.into_parts();
     let id = parts.headers.get(ATTEMPT).and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
     let refuse =
         |kind: Kind, route: Option<&Rc<Route>>| Refusal { kind, id: id.clone(), route: route.cloned() };
-    let most_body = check(edge, &parts, &body, notes).map_err(|kind| refuse(kind, None))?;
+    let most_body = check(edge, &parts, &body, exchange.notes()).map_err(|kind| refuse(kind, None))?;
     if edge.requests.get() > MOST {
         return Err(refuse(Kind::Full, None));
     }
@@ -127,7 +132,8 @@
         ticket
     };
     let route = &ticket.route;
-    let gathering = tokio::time::timeout(left(edge, ticket.deadline), gather(body));
+    let over = Instant::now() + left(edge, ticket.deadline);
+    let gathering = tokio::time::timeout_at(over, gather(body));
     let gathered = match gathering.await {
         Ok(Ok(gathered)) => gathered,
         Ok(Err(_)) => return Err(refuse(Kind::BadRequest("the body broke off".into()), Some(route))),
@@ -141,7 +147,9 @@
     }
     let source = match gathered {
         Gathered { head, rest: None } => Source::Whole(join(head)),
-        Gathered { head, rest: Some(rest) } => Source::Once(Some((head, rest, most_body))),
+        Gathered { head, rest: Some(rest) } => {
+            Source::Once(Some(Upload::new(head, rest, most_body, over, Rc::clone(exchange))))
+        }
     };
     Ok(Prepared { parts, source, ticket, host, id })
 }
@@ -150,9 +158,9 @@
 async fn relay(
     edge: &Rc<Edge>,
     request: Request<Incoming>,
-    notes: &Notes,
+    exchange: &Rc<Exchange>,
 ) -> Result<(Response<Out>, Class), Refusal> {
-    let mut prepared = prepare(edge, request, notes).await?;
+    let mut prepared = prepare(edge, request, exchange).await?;
     let first = edge.router.borrow_mut().pick(edge.now(), &mut prepared.ticket);
     let first = first.map_err(|kind| prepared.refuse(kind))?;
     // Guards against taking what may not be done before this process ends.
--- a/crates/edge-proxy/src/tests.rs
+++ b/crates/edge-proxy/src/tests.rs
@@ -4,6 +4,7 @@
 mod core_silence;
 mod guarantees;
 mod tenants;
+mod uploads;
 
 use crate::edge::Edge;
 use crate::front;
--- a/crates/edge-proxy/src/tests/guarantees.rs
+++ b/crates/edge-proxy/src/tests/guarantees.rs
@@ -17,12 +17,12 @@
 /// What the bounds of the rules leave after a client has left or a time is over.
 const SOON: Duration = Duration::from_millis(500);
 
-fn ms(time: u64) -> Duration {
+pub(super) fn ms(time: u64) -> Duration {
     Duration::from_millis(time)
 }
 
 /// Reads bytes up to the end of a head.
-async fn head(stream: &mut DuplexStream) -> Option<String> {
+pub(super) async fn head(stream: &mut DuplexStream) -> Option<String> {
     let mut bytes = Vec::new();
     while !bytes.ends_with(b"\r\n\r\n") {
         bytes.push(stream.read_u8().await.ok()?);
@@ -30,14 +30,14 @@
     String::from_utf8(bytes).ok()
 }
 
-fn field(head: &str, name: &str) -> Option<String> {
+pub(super) fn field(head: &str, name: &str) -> Option<String> {
     let found =
         head.lines().find_map(|line| line.split_once(": ").filter(|it| it.0.eq_ignore_ascii_case(name)));
     found.map(|(_, value)| value.to_owned())
 }
 
 /// Sends a request's head and gives the client's end of the connection.
-async fn begin(edge: &Rc<Edge>, path: &str, remaining: u64, extra: &str) -> DuplexStream {
+pub(super) async fn begin(edge: &Rc<Edge>, path: &str, remaining: u64, extra: &str) -> DuplexStream {
     let (mut client, server) = duplex(1 << 20);
     tokio::task::spawn_local(front::connection(Rc::clone(edge), server));
     let text = format!(
--- a/crates/edge-proxy/src/watched.rs
+++ b/crates/edge-proxy/src/watched.rs
@@ -29,6 +29,35 @@
     pub bare: Cell<bool>,
     /// What the connection is at.
     pub at: Cell<At>,
+    /// Exchanges under way: a request's body may come to its end behind its answer, as the next one comes.
+    exchanges: Cell<usize>,
+}
+
+/// A request and its answer: the connection is not idle before both have come to their end.
+pub struct Exchange(Rc<Notes>);
+
+impl Exchange {
+    /// A request's head has come.
+    pub fn begin(notes: &Rc<Notes>) -> Rc<Exchange> {
+        notes.at.set(At::Request);
+        notes.exchanges.set(notes.exchanges.get() + 1);
+        Rc::new(Exchange(Rc::clone(notes)))
+    }
+
+    /// What was noticed of its bytes.
+    pub fn notes(&self) -> &Notes {
+        &self.0
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        let left = self.0.exchanges.get().saturating_sub(1);
+        self.0.exchanges.set(left);
+        if left == 0 {
+            self.0.at.set(At::Idle);
+        }
+    }
 }
 
 /// A client's connection, and what was noticed of the bytes that came.
@@ -82,7 +111,12 @@
 impl Notes {
     /// Of a connection on which nothing has come yet.
     pub fn new() -> Rc<Notes> {
-        Rc::new(Notes { length: Cell::new(false), bare: Cell::new(false), at: Cell::new(At::Idle) })
+        Rc::new(Notes {
+            length: Cell::new(false),
+            bare: Cell::new(false),
+            at: Cell::new(At::Idle),
+            exchanges: Cell::new(0),
+        })
     }
 }
 
