A live marshal that reads a body late is not taken for a silent host

What callers saw: orders of 250,000 bytes and more ended with the edge's own 502 some 1.1 s after their head where the marshal began on them and read the body 2 s later; the marshal found its connection reset.

Cause: TCP_USER_TIMEOUT of 700 ms on connections to marshals. Linux counts the time of a closed receive window as well, though the peer acknowledges each probe.

Change: the short bound holds while no more than 16 KiB can lie unread before the peer, which its host takes whatever its process does; beyond that it is the time of the request, so that hosts without power are still noticed after 700 ms in all else. The same for answers that clients read late (10 s before).

--- a/crates/edge-proxy/src/attempt.rs
+++ b/crates/edge-proxy/src/attempt.rs
@@ -138,6 +138,7 @@
         })?;
         let remaining = deadline.saturating_sub(edge.now());
         request.headers_mut().insert(REMAINING, HeaderValue::from(remaining));
+        lease.unread.begin(Duration::from_millis(remaining));
         if lease.sender.ready().await.is_err() {
             if lease.used {
                 fresh = true;
@@ -169,6 +170,7 @@
     if own == Some(false) || (own.is_none() && !refused && parts.status != 421) {
         return Err(Ended::Broken); // another request's answer, or bytes that belong to none
     }
+    lease.unread.answered();
     if parts.status == 421 {
         return Err(Ended::Moved);
     }
--- a/crates/edge-proxy/src/front.rs
+++ b/crates/edge-proxy/src/front.rs
@@ -4,6 +4,7 @@
 use crate::edge::Edge;
 use crate::out::Out;
 use crate::relay;
+use crate::unread::{BoundedStream, Unread};
 use crate::watched::{Exchange, Notes, Watched};
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
@@ -26,8 +27,8 @@
 const ROOM: usize = 8 << 10;
 /// The largest head without a configuration, and the largest at all.
 const HEAD: (usize, usize) = (16 << 10, 256 << 10);
-/// What a client that takes nothing is given up after.
-const PATIENCE: Duration = Duration::from_secs(10);
+/// A client that takes nothing of a short answer is given up after this; one of a longer answer has the time of its request.
+const SILENCE: Duration = Duration::from_secs(10);
 /// Clients are told to use an idle connection again within two seconds, since it costs memory until it closes. A second
 /// later it does, so that a request already on its way is still taken.
 const KEEP: (&str, Duration) = ("timeout=2", Duration::from_secs(3));
@@ -83,23 +84,28 @@
                 continue;
             }
         };
-        let _ = milletwing_wire::groom(&stream, PATIENCE);
-        tokio::task::spawn_local(connection(Rc::clone(&edge), stream));
+        let unread = Unread::new(SILENCE);
+        if let Ok(stream) = BoundedStream::new(stream, Rc::clone(&unread)) {
+            tokio::task::spawn_local(connection(Rc::clone(&edge), stream, unread));
+        }
     }
 }
 
-/// Serves one client's connection until either side ends it. It counts from the call on.
+/// Serves one client's connection until either side ends it. It counts from the call on. `unread`: what the client may not
+/// have read of its answers.
 pub fn connection(
     edge: Rc<Edge>,
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    unread: Rc<Unread>,
 ) -> impl Future<Output = ()> {
     let counted = Counted::new(&edge);
-    serve_client(edge, stream, counted)
+    serve_client(edge, stream, unread, counted)
 }
 
 async fn serve_client(
     edge: Rc<Edge>,
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    unread: Rc<Unread>,
     counted: Counted,
 ) {
     let (idle, guard, head) = {
@@ -110,7 +116,7 @@
         let guard = thresholds.map_or(3.0, |it| it.header_guard_s).clamp(0.5, 600.0);
         (Duration::from_secs_f64(idle), Duration::from_secs_f64(guard), head.clamp(HEAD.0, HEAD.1))
     };
-    let notes = Notes::new();
+    let notes = Notes::new(unread);
     let watched = Watched::new(stream, Rc::clone(&notes), idle, guard);
     let serving = Rc::clone(&edge);
     let service = service_fn(move |request| {
--- a/crates/edge-proxy/src/pool.rs
+++ b/crates/edge-proxy/src/pool.rs
@@ -2,6 +2,7 @@
 //! to close.
 
 use crate::body::Carry;
+use crate::unread::{BoundedStream, Unread};
 use ahash::RandomState;
 use futures_util::future::LocalBoxFuture;
 use hashbrown::HashMap;
@@ -15,8 +16,8 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::time::Instant;
 
-/// Unacknowledged bytes end a connection after this: a marshal without power says nothing.
-const PATIENCE: Duration = Duration::from_millis(700);
+/// A marshal's host that acknowledges nothing for so long has no power, or is cut off.
+const SILENCE: Duration = Duration::from_millis(700);
 /// A connection that doesn't come up in this time is given up.
 const DIAL: Duration = Duration::from_millis(350);
 /// Idle connections are used no longer than this, or than half of what the marshal tells: what is sent on one that was
@@ -28,6 +29,7 @@
 
 struct Idle {
     sender: SendRequest<Carry>,
+    unread: Rc<Unread>,
     until: Instant,
 }
 
@@ -41,8 +43,9 @@
 pub trait Wire: AsyncRead + AsyncWrite + Unpin {}
 impl<S: AsyncRead + AsyncWrite + Unpin> Wire for S {}
 
-/// Makes a connection to an address, or gives up in its time.
-pub type Dial = Box<dyn Fn(SocketAddrV4) -> LocalBoxFuture<'static, std::io::Result<Box<dyn Wire>>>>;
+/// Makes a connection to an address, or gives up in its time. What its peer may not have read is noted for it.
+pub type Dial =
+    Box<dyn Fn(SocketAddrV4, Rc<Unread>) -> LocalBoxFuture<'static, std::io::Result<Box<dyn Wire>>>>;
 
 /// All connections, by marshal.
 pub struct Pool {
@@ -54,6 +57,8 @@
 pub struct Lease {
     pub sender: SendRequest<Carry>,
     pub marshal: u64,
+    /// What the marshal may not have read yet.
+    pub unread: Rc<Unread>,
     /// It has carried a request before.
     pub used: bool,
 }
@@ -69,11 +74,10 @@
 
 /// Connections over TCP.
 pub fn tcp() -> Dial {
-    Box::new(|to| {
+    Box::new(|to, unread| {
         Box::pin(async move {
             let stream = milletwing_wire::dial(to, DIAL).await?;
-            let _ = milletwing_wire::groom(&stream, PATIENCE); // it notices a silent peer later
-            Ok(Box::new(stream) as Box<dyn Wire>)
+            Ok(Box::new(BoundedStream::new(stream, unread)?) as Box<dyn Wire>)
         })
     })
 }
@@ -92,7 +96,8 @@
             let now = Instant::now();
             while let Some(idle) = host.idle.pop() {
                 if !fresh && now < idle.until && idle.sender.is_ready() {
-                    return Ok(Lease { sender: idle.sender, marshal: sending.marshal, used: true });
+                    let Idle { sender, unread, .. } = idle;
+                    return Ok(Lease { sender, marshal: sending.marshal, unread, used: true });
                 }
             }
             if host.open.get() >= sending.connections {
@@ -102,7 +107,9 @@
             Rc::clone(&host.open)
         };
         let count = Count(open);
-        let stream = (self.dial)(sending.address).await.map_err(|_| NoLease::Unreached)?;
+        let unread = Unread::new(SILENCE);
+        let stream =
+            (self.dial)(sending.address, Rc::clone(&unread)).await.map_err(|_| NoLease::Unreached)?;
         let mut builder = http1::Builder::new();
         builder.read_buf_exact_size(Some(READ)).writev(false);
         let (sender, connection) =
@@ -111,7 +118,7 @@
             let _ = connection.await; // whoever uses it hears of its end
             drop(count);
         });
-        Ok(Lease { sender, marshal: sending.marshal, used: false })
+        Ok(Lease { sender, marshal: sending.marshal, unread, used: false })
     }
 
     /// A connection whose answer has ended whole. `keep`: for how long its marshal says that it keeps it.
@@ -124,7 +131,7 @@
             // The newest is used first; what the load no longer needs runs out of time at the bottom.
             let now = Instant::now();
             host.idle.retain(|idle| idle.until > now && !idle.sender.is_closed());
-            host.idle.push(Idle { sender: lease.sender, until });
+            host.idle.push(Idle { sender: lease.sender, unread: lease.unread, until });
         }
     }
 
--- a/crates/edge-proxy/src/relay.rs
+++ b/crates/edge-proxy/src/relay.rs
@@ -132,7 +132,9 @@
         ticket
     };
     let route = &ticket.route;
-    let over = Instant::now() + left(edge, ticket.deadline);
+    let time_left = left(edge, ticket.deadline);
+    let over = Instant::now() + time_left;
+    exchange.notes().unread.begin(time_left);
     let gathering = tokio::time::timeout_at(over, gather(body));
     let gathered = match gathering.await {
         Ok(Ok(gathered)) => gathered,
--- a/crates/edge-proxy/src/tests.rs
+++ b/crates/edge-proxy/src/tests.rs
@@ -9,6 +9,7 @@
 use crate::edge::Edge;
 use crate::front;
 use crate::pool::{Dial, Wire};
+use crate::unread::Unread;
 use milletwing_config::Settings;
 use milletwing_replicated_state::{Command, Node, Phase, View};
 use std::cell::RefCell;
@@ -18,6 +19,8 @@
 use std::time::Duration;
 use tokio::io::{duplex, AsyncReadExt, AsyncWriteExt, DuplexStream};
 
+/// A client that takes nothing is given up after this; streams in memory know no such end.
+const SILENCE: Duration = Duration::from_secs(10);
 const LOOK: &str = "/look/x";
 const ORDER: &str = "/order/x";
 const SETTINGS: &str =
@@ -63,7 +66,7 @@
     wrap: fn(DuplexStream) -> Box<dyn Wire>,
 ) -> Rc<Edge> {
     let (calls, arrivals) = (Rc::new(RefCell::new(0)), arrivals.clone());
-    let dial: Dial = Box::new(move |_| {
+    let dial: Dial = Box::new(move |_, _| {
         let (near, far) = duplex(1 << 20);
         let call = calls.replace_with(|call| *call + 1);
         tokio::task::spawn_local(serve(call, far, arrivals.clone()));
@@ -109,7 +112,7 @@
 
 async fn ask(edge: &Rc<Edge>, path: &str, id: &str) -> Option<Got> {
     let (mut client, server) = duplex(1 << 20);
-    tokio::task::spawn_local(front::connection(Rc::clone(edge), server));
+    tokio::task::spawn_local(front::connection(Rc::clone(edge), server, Unread::new(SILENCE)));
     let text = format!(
         "POST {path} HTTP/1.1\r\nHost: h\r\nX-Milletwing-Attempt-Id: {id}\r\nX-Milletwing-Remaining-Ms: 3000\r\n\
          Connection: close\r\nContent-Length: 4\r\n\r\nbody"
--- a/crates/edge-proxy/src/tests/guarantees.rs
+++ b/crates/edge-proxy/src/tests/guarantees.rs
@@ -1,9 +1,11 @@
 //! What clients and marshals may rely on beyond whose answer is whose: time handed on, an end in time, clients that leave, long
 //! bodies, answers without a length.
 
+use super::SILENCE;
 use super::{answer, arrivals_of_one, ask, edge, edge_over, own, request, run, serve, Arrivals, LOOK, ORDER};
 use crate::front;
 use crate::pool::Wire;
+use crate::unread::Unread;
 use crate::Edge;
 use std::cell::{Cell, RefCell};
 use std::io::{Error, ErrorKind};
@@ -39,7 +41,7 @@
 /// Sends a request's head and gives the client's end of the connection.
 pub(super) async fn begin(edge: &Rc<Edge>, path: &str, remaining: u64, extra: &str) -> DuplexStream {
     let (mut client, server) = duplex(1 << 20);
-    tokio::task::spawn_local(front::connection(Rc::clone(edge), server));
+    tokio::task::spawn_local(front::connection(Rc::clone(edge), server, Unread::new(SILENCE)));
     let text = format!(
         "POST {path} HTTP/1.1\r\nHost: h\r\nX-Milletwing-Attempt-Id: i\r\nX-Milletwing-Remaining-Ms: {remaining}\r\n{extra}\r\n"
     );
--- a/crates/edge-proxy/src/tests/tenants.rs
+++ b/crates/edge-proxy/src/tests/tenants.rs
@@ -1,8 +1,10 @@
 //! Tenants and their keys at an edge: where their requests may run, what marshals are told of them, and what is refused.
 
+use super::SILENCE;
 use super::{answer, edge_of, node, run};
 use crate::front;
 use crate::pool::Dial;
+use crate::unread::Unread;
 use crate::Edge;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -39,7 +41,7 @@
 fn edge() -> (Rc<Edge>, Heads) {
     let heads = Heads::default();
     let noted = Rc::clone(&heads);
-    let dial: Dial = Box::new(move |address| {
+    let dial: Dial = Box::new(move |address, _| {
         let (near, mut far) = duplex(1 << 20);
         let zone = if address.ip().octets()[3] < 2 { "a" } else { "b" };
         let noted = Rc::clone(&noted);
@@ -60,7 +62,7 @@
 /// Asks on a connection of its own; gives the answer's head.
 async fn ask(edge: &Rc<Edge>, path: &str, fields: &str) -> String {
     let (mut client, server) = duplex(1 << 20);
-    tokio::task::spawn_local(front::connection(Rc::clone(edge), server));
+    tokio::task::spawn_local(front::connection(Rc::clone(edge), server, Unread::new(SILENCE)));
     let text = format!(
         "GET {path} HTTP/1.1\r\nHost: h\r\nX-Milletwing-Attempt-Id: i\r\nX-Milletwing-Remaining-Ms: 3000\r\n{fields}\r\n"
     );
@@ -157,7 +159,7 @@
     run(async {
         let (edge, heads) = edge();
         let (mut client, server) = duplex(1 << 20);
-        tokio::task::spawn_local(front::connection(Rc::clone(&edge), server));
+        tokio::task::spawn_local(front::connection(Rc::clone(&edge), server, Unread::new(SILENCE)));
         let text = "GET /any/x HTTP/1.1\r\nHost: h\r\nX-Milletwing-Attempt-Id: i\r\nAuthorization: Token key-t\r\n\r\n";
         let mut index = 100;
         let bodies = [
--- a/crates/edge-proxy/src/tests/uploads.rs
+++ b/crates/edge-proxy/src/tests/uploads.rs
@@ -36,7 +36,7 @@
 async fn half_an_upload() -> (DuplexStream, Rc<Got>) {
     let got: Rc<Got> = Rc::default();
     let noted = Rc::clone(&got);
-    let dial: Dial = Box::new(move |_| {
+    let dial: Dial = Box::new(move |_, _| {
         let (near, far) = duplex(1 << 20);
         tokio::task::spawn_local(answer_and_read_on(far, Rc::clone(&noted)));
         Box::pin(async move { Ok(Box::new(near) as Box<dyn Wire>) })
--- a/crates/edge-proxy/src/watched.rs
+++ b/crates/edge-proxy/src/watched.rs
@@ -1,6 +1,7 @@
 //! A client's connection with what is noticed of the bytes that come: what the library that reads heads doesn't tell, and how
 //! long it has waited for them.
 
+use crate::unread::Unread;
 use std::cell::Cell;
 use std::future::Future;
 use std::pin::Pin;
@@ -31,6 +32,8 @@
     pub at: Cell<At>,
     /// Exchanges under way: a request's body may come to its end behind its answer, as the next one comes.
     exchanges: Cell<usize>,
+    /// What the client may not have read of its answers.
+    pub unread: Rc<Unread>,
 }
 
 /// A request and its answer: the connection is not idle before both have come to their end.
@@ -110,12 +113,13 @@
 
 impl Notes {
     /// Of a connection on which nothing has come yet.
-    pub fn new() -> Rc<Notes> {
+    pub fn new(unread: Rc<Unread>) -> Rc<Notes> {
         Rc::new(Notes {
             length: Cell::new(false),
             bare: Cell::new(false),
             at: Cell::new(At::Idle),
             exchanges: Cell::new(0),
+            unread,
         })
     }
 }
--- a/crates/edge-proxy/src/watched/tests.rs
+++ b/crates/edge-proxy/src/watched/tests.rs
@@ -10,7 +10,7 @@
 async fn ends(at: At, bytes: impl Iterator<Item = f64>) -> f64 {
     let begun = tokio::time::Instant::now();
     let (mut client, server) = duplex(64);
-    let notes = Notes::new();
+    let notes = Notes::new(Unread::new(IDLE));
     notes.at.set(at);
     let mut watched = Watched::new(server, notes, IDLE, GUARD);
     let writes = async {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -173,7 +173,13 @@
     let probes =
         socket2::TcpKeepalive::new().with_time(Duration::from_secs(1)).with_interval(Duration::from_secs(1));
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(patience))
+    bound_unacknowledged(stream, patience)
+}
+
+/// Ends a connection whose sent bytes its peer has not acknowledged for so long. The time in which a live peer's window is
+/// closed, since it does not read, counts as well.
+pub fn bound_unacknowledged(stream: &TcpStream, bound: Duration) -> Result<(), Error> {
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(bound))
 }
 
 /// Serves a process's metrics on the machine's own address. Where the port can't be had, the process goes on without them.
