A request does not wait behind a body that was answered early and not read

Cause: a connection went back to the pool once its answer was whole and the request was with this machine's network; "sent" was taken for "read". Ruled out: the marshal's own queue, it ran one order of four slots then.

What was sent arrives all the same.

--- a/crates/edge-proxy/src/pool.rs
+++ b/crates/edge-proxy/src/pool.rs
@@ -122,8 +122,10 @@
     }
 
     /// A connection whose answer has ended whole. `keep`: for how long its marshal says that it keeps it.
+    ///
+    /// A marshal may answer a large request before it has read its body, and the next one would wait behind that.
     pub fn give_back(&self, lease: Lease, keep: Option<Duration>) {
-        if lease.sender.is_closed() {
+        if lease.sender.is_closed() || lease.unread.is_large() {
             return;
         }
         let until = Instant::now() + keep.map_or(IDLE, |keep| (keep / 2).min(IDLE));
--- a/crates/system/tests/late_readers.rs
+++ b/crates/system/tests/late_readers.rs
@@ -160,3 +160,18 @@
     assert_eq!(late.sees(), Seen::Body(LARGE));
     assert_eq!(waiting.join().unwrap().map(|(status, _)| status), Some(200));
 }
+
+/// Guards against a request that waits behind a body which its marshal answered early and has not read.
+#[test]
+fn the_next_request_does_not_wait_behind_a_body_that_was_answered_early() {
+    /// Bytes that the hosts of both sides take unread, so that the edge has sent all of them.
+    const TAKEN: usize = 400_000;
+    let (cluster, _core, _edge, late) = place("next", true);
+    let to = cluster.at(20, 8548);
+    assert_eq!(order(to, TAKEN).join().unwrap().map(|(status, _)| status), Some(200));
+    assert_eq!(late.sees(), Seen::Begun);
+    let next = raw(to, request("GET", "/look/ready", "next", "", "").as_bytes());
+    assert_eq!(next.map(|(status, ..)| status), Some(200));
+    late.read.send(()).unwrap();
+    assert_eq!(late.sees(), Seen::Body(TAKEN));
+}
