The soak has uploads read late or answered early, and counts answers of the edge in a marshal's place

Change: orders of up to 900,000 bytes whose marshal reads 0.1 to 1.5 s after it has begun on them, or answered them. In the judge's test 502 and 504 move from sound to broken for that reason; the sound forms of both stay, with their marshal crashed or their time over.

--- a/crates/trials/src/soak.rs
+++ b/crates/trials/src/soak.rs
@@ -9,7 +9,7 @@
 mod processes;
 mod schedule;
 
-pub use ledger::{Broken, Outcome, Record, Run, Totals};
+pub use ledger::{Broken, Outcome, Record, Run, Times, Totals, REMAINING};
 
 use crate::measure;
 use ledger::Ledger;
--- a/crates/trials/src/soak/clients.rs
+++ b/crates/trials/src/soak/clients.rs
@@ -1,7 +1,7 @@
 //! Clients that keep a connection until the process at its other end is gone, and judge nothing: they note what they got.
 
-use super::ledger::{Ledger, Outcome, Record};
-use super::marshals::body;
+use super::ledger::{Ledger, Outcome, Record, Times, REMAINING};
+use super::marshals::{body, UPLOAD};
 use super::processes::{Role, Site, INGRESS, ZONES};
 use super::Options;
 use bytes::Bytes;
@@ -19,14 +19,16 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
-/// Milliseconds that a client says it waits, and how long it waits in fact before it takes its edge for one that broke its word.
-const REMAINING_MS: u64 = 3_000;
+/// How long a client waits in fact before it takes its edge for one that broke its word.
 const WAITS: Duration = Duration::from_secs(15);
 /// A connection has so long to come up.
 const CONNECTS: Duration = Duration::from_secs(1);
 /// Milliseconds between two requests on a connection, at most.
 const THINKS_MS: u64 = 60;
 
+/// Bytes of an upload at most: below the configuration's `maxBodyBytes`.
+const MOST_UPLOADED: usize = 900_000;
+
 /// A kind of request.
 struct Kind {
     path: &'static str,
@@ -37,13 +39,16 @@
 }
 
 const BOTH: &[&str] = &["north", "south"];
-const KINDS: [Kind; 6] = [
+const KINDS: [Kind; 8] = [
     Kind { path: "/look/x", order: false, tenant: Some(("roamer", "key-r1")), homes: BOTH },
     Kind { path: "/look/y", order: false, tenant: Some(("southerner", "key-s")), homes: &["south"] },
     Kind { path: "/order/x", order: true, tenant: Some(("roamer", "key-r2")), homes: &["north"] },
     Kind { path: "/order/y", order: true, tenant: Some(("northerner", "key-n")), homes: &["north"] },
     Kind { path: "/big/x", order: false, tenant: Some(("roamer", "key-r1")), homes: BOTH },
     Kind { path: "/open/x", order: false, tenant: None, homes: BOTH },
+    // Read by their marshal some time after it has begun on them, or has answered them.
+    Kind { path: "/order/late", order: true, tenant: Some(("roamer", "key-r1")), homes: &["north"] },
+    Kind { path: "/order/early", order: true, tenant: Some(("roamer", "key-r1")), homes: &["north"] },
 ];
 
 /// Clients at work.
@@ -126,6 +131,16 @@
         self.site.at(edges[self.dice.random_range(0..edges.len())], INGRESS)
     }
 
+    /// An upload is now short and now longer than a marshal's host takes unread.
+    fn payload(&mut self, kind: &Kind) -> Bytes {
+        let length = match kind.path {
+            "/order/late" | "/order/early" => self.dice.random_range(1..MOST_UPLOADED),
+            _ if kind.order => 8,
+            _ => 0,
+        };
+        Bytes::from(vec![UPLOAD; length])
+    }
+
     /// One request. Gives whether the connection goes on.
     async fn ask(&mut self, sender: &mut SendRequest<Full<Bytes>>, edge: super::ledger::Life) -> bool {
         if sender.ready().await.is_err() {
@@ -138,16 +153,23 @@
             .uri(kind.path)
             .header("host", "h.example")
             .header("x-milletwing-attempt-id", &id)
-            .header("x-milletwing-remaining-ms", REMAINING_MS)
+            .header("x-milletwing-remaining-ms", REMAINING.as_millis() as u64)
             .header("x-milletwing-subscriber", "forged");
         if let Some((_, key)) = kind.tenant {
             builder = builder.header("authorization", format!("Token {key}"));
         }
-        let payload = if kind.order { Bytes::from_static(b"an order") } else { Bytes::new() };
+        let payload = self.payload(kind);
         let Ok(request) = builder.body(Full::new(payload)) else { return false };
         let tenant = kind.tenant.map(|(name, _)| name);
-        let record =
-            Record { order: kind.order, tenant, homes: kind.homes, edge, runs: Vec::new(), outcome: None };
+        let record = Record {
+            order: kind.order,
+            tenant,
+            homes: kind.homes,
+            edge,
+            runs: Vec::new(),
+            outcome: None,
+            times: Times::default(),
+        };
         self.ledger.sent(&id, record);
         let large = kind.path.starts_with("/big/");
         let outcome = tokio::time::timeout(WAITS, exchange(sender, request, &id, large)).await;
--- a/crates/trials/src/soak/ledger.rs
+++ b/crates/trials/src/soak/ledger.rs
@@ -1,9 +1,11 @@
 //! What clients, marshals and operators saw, and what must follow from it.
 
+use super::processes::GRACE_S;
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
 /// A life of an edge: its host, and which start of it.
@@ -46,6 +48,17 @@
     Silent,
 }
 
+/// When a request was under way, from the soak's start; and when its edge was told to end, if it was.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Times {
+    /// Its client began to send it.
+    pub sent: Duration,
+    /// Its client had its answer, or its connection's end.
+    pub ended: Duration,
+    /// Its edge got SIGTERM.
+    pub term: Option<Duration>,
+}
+
 /// A request.
 #[derive(Clone, Debug)]
 pub struct Record {
@@ -61,6 +74,8 @@
     pub runs: Vec<Run>,
     /// How it ended; nothing yet.
     pub outcome: Option<Outcome>,
+    /// When.
+    pub times: Times,
 }
 
 /// Sums for the report.
@@ -85,6 +100,8 @@
     records: HashMap<String, Record>,
     /// Lives of edges that were killed or stood still.
     harmed: HashSet<Life>,
+    /// When lives of edges were told to end.
+    terms: HashMap<Life, Duration>,
     broken: Vec<Broken>,
     totals: Totals,
     /// The newest configuration that each life of an edge said it routes by.
@@ -94,8 +111,8 @@
 }
 
 /// All that was seen.
-#[derive(Default)]
 pub struct Ledger {
+    began: Instant,
     seen: Mutex<Seen>,
     answers: AtomicU64,
     progress: Notify,
@@ -103,16 +120,34 @@
 
 /// Statuses that promise that a request has not run and never will.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
+/// How long a client says that it waits, and how close to that an edge may call a request's time over.
+pub const REMAINING: Duration = Duration::from_secs(3);
+const CLOSE_TO_THE_END: Duration = Duration::from_millis(100);
+/// A request that is sent within so long of its edge's SIGTERM may be broken off in the last sixth of the edge's time to leave.
+const EXCUSED_SENT: Duration = Duration::from_secs(3);
+const EXCUSED_FROM: Duration = Duration::from_millis(GRACE_S * 1_000 * 5 / 6);
 /// Things told of one rule at most.
 const MOST_TOLD: usize = 5;
 
+impl Default for Ledger {
+    fn default() -> Ledger {
+        Ledger {
+            began: Instant::now(),
+            seen: Mutex::default(),
+            answers: AtomicU64::default(),
+            progress: Notify::default(),
+        }
+    }
+}
+
 impl Ledger {
     fn seen(&self) -> MutexGuard<'_, Seen> {
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// A request is sent now.
-    pub fn sent(&self, id: &str, record: Record) {
+    pub fn sent(&self, id: &str, mut record: Record) {
+        record.times.sent = self.began.elapsed();
         let seen = &mut *self.seen();
         seen.totals.requests += 1;
         seen.records.insert(id.into(), record);
@@ -148,6 +183,7 @@
             }
             if let Some(record) = seen.records.get_mut(id) {
                 record.outcome = Some(outcome);
+                record.times.ended = self.began.elapsed();
             }
         }
         self.answers.fetch_add(1, SeqCst);
@@ -175,6 +211,12 @@
         self.seen().harmed.insert(life);
     }
 
+    /// A life of an edge is told to end.
+    pub fn told_to_end(&self, life: Life) {
+        let now = self.began.elapsed();
+        self.seen().terms.entry(life).or_insert(now);
+    }
+
     /// Something that must hold did not.
     pub fn broken(&self, rule: &'static str, what: String) {
         self.seen().broken.push(Broken { rule, what });
@@ -216,7 +258,8 @@
     pub fn judge(&self) -> Vec<Broken> {
         let seen = &mut *self.seen();
         let mut broken = std::mem::take(&mut seen.broken);
-        for (id, record) in &seen.records {
+        for (id, record) in &mut seen.records {
+            record.times.term = seen.terms.get(&record.edge).copied();
             let found = record.broken(seen.harmed.contains(&record.edge));
             broken.extend(found.map(|rule| Broken { rule, what: format!("{id}: {record:?}") }));
         }
@@ -244,14 +287,27 @@
         }
         let ran = !self.runs.is_empty();
         match self.outcome.as_ref()? {
+            // The edge's own answer, though its marshal was at work and the time was not over.
+            Outcome::Answered(500 | 502 | 504, None, _) if ran && !harmed && self.must_be_answered() => {
+                Some("LOST")
+            }
             Outcome::Answered(status, seal, whole) => self.broken_answer(*status, seal.as_deref(), *whole),
             // Its marshal was at work, and its edge was neither killed nor stood still.
-            Outcome::Closed => (ran && !harmed && !self.runs.iter().any(|run| run.cut)).then_some("LOST"),
+            Outcome::Closed => (ran && !harmed && self.must_be_answered()).then_some("LOST"),
             Outcome::Unsent => ran.then_some("UNASKED"),
             Outcome::Silent => (!harmed).then_some("LATE"),
         }
     }
 
+    /// Whether its marshal would have answered it: the marshal went on, the client's time was not over, and its edge had not come to the
+    /// end of its time to leave with a request that came early in it.
+    fn must_be_answered(&self) -> bool {
+        let Times { sent, ended, term } = self.times;
+        let in_time = ended < sent + REMAINING - CLOSE_TO_THE_END;
+        let excused = term.is_some_and(|term| sent <= term + EXCUSED_SENT && ended >= term + EXCUSED_FROM);
+        in_time && !excused && !self.runs.iter().any(|run| run.cut)
+    }
+
     fn broken_answer(&self, status: u16, seal: Option<&str>, whole: bool) -> Option<&'static str> {
         if PROMISES.contains(&status) {
             return (!self.runs.is_empty()).then_some("REFUSED");
--- a/crates/trials/src/soak/marshals.rs
+++ b/crates/trials/src/soak/marshals.rs
@@ -13,6 +13,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashSet;
 use std::convert::Infallible;
+use std::future::Future;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
@@ -25,6 +26,10 @@
 /// What it works on at once, and beyond which it turns requests away.
 const SLOTS: usize = 16;
 const QUEUE: usize = 64;
+/// What an upload's body is made of.
+pub const UPLOAD: u8 = b'u';
+/// Milliseconds until a marshal reads an upload that it has begun on, or answered.
+const READS_LATE_MS: std::ops::Range<u64> = 100..1_500;
 /// Bytes of a large answer.
 const LARGE: usize = 60_000;
 
@@ -219,7 +224,24 @@
     builder.body(Full::new(Bytes::from(body))).unwrap_or_default()
 }
 
+async fn read(body: Option<Incoming>) -> Option<Result<Bytes, hyper::Error>> {
+    Some(body?.collect().await.map(|whole| whole.to_bytes()))
+}
+
 impl Node {
+    /// Reads an upload after a while. It may end early; other bytes than its client's are nobody's.
+    fn read_late(&self, body: Option<Incoming>, id: String) -> impl Future<Output = ()> + use<> {
+        let wait = self.dice.lock().unwrap_or_else(PoisonError::into_inner).random_range(READS_LATE_MS);
+        let (ledger, name) = (Arc::clone(&self.ledger), self.name.clone());
+        async move {
+            tokio::time::sleep(Duration::from_millis(wait)).await;
+            let read = read(body).await;
+            if read.is_some_and(|read| read.is_ok_and(|bytes| bytes.iter().any(|byte| *byte != UPLOAD))) {
+                ledger.broken("UNASKED", format!("{name} read other bytes for {id}"));
+            }
+        }
+    }
+
     async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let path = request.uri().path().to_owned();
         if path == "/health" {
@@ -238,8 +260,11 @@
                 String::new(),
             );
         }
-        if request.into_body().collect().await.is_err() {
-            return answer(400, &[("x-milletwing-not-executed", "1")], String::new());
+        let mut body_unread = Some(request.into_body());
+        if !path.ends_with("/late") && !path.ends_with("/early") {
+            let Some(Ok(_)) = read(body_unread.take()).await else {
+                return answer(400, &[("x-milletwing-not-executed", "1")], String::new());
+            };
         }
         let run = Run {
             marshal: self.name.clone(),
@@ -250,6 +275,11 @@
         };
         self.at_work.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
         self.ledger.ran(&id, run);
+        if path.ends_with("/early") {
+            tokio::spawn(self.read_late(body_unread.take(), id.clone()));
+        } else if body_unread.is_some() {
+            self.read_late(body_unread.take(), id.clone()).await;
+        }
         let work = {
             let mut dice = self.dice.lock().unwrap_or_else(PoisonError::into_inner);
             // Mostly short, now and then so long that a signal comes meanwhile.
--- a/crates/trials/src/soak/processes.rs
+++ b/crates/trials/src/soak/processes.rs
@@ -23,7 +23,7 @@
 const READINESS: u16 = 8542;
 const METRICS: u16 = 7553;
 /// Seconds that a process has to leave, before it is killed.
-const GRACE_S: u64 = 4;
+pub const GRACE_S: u64 = 4;
 /// The first host of the edges, and of the marshals.
 const EDGES: u32 = 20;
 const MARSHALS: u32 = 2_000;
@@ -224,7 +224,10 @@
         let again = machine.leaves.is_some() && signal == Signal::TERM;
         let Some(pid) = Pid::from_raw(child.id() as i32).filter(|_| !again) else { return false };
         match signal {
-            Signal::TERM => machine.leaves = Some(Instant::now()),
+            Signal::TERM => {
+                machine.leaves = Some(Instant::now());
+                self.ledger.told_to_end((host, machine.life));
+            }
             Signal::KILL => machine.killed = true,
             Signal::STOP => machine.still = true,
             Signal::CONT => machine.still = false,
--- a/crates/trials/tests/soak.rs
+++ b/crates/trials/tests/soak.rs
@@ -1,13 +1,18 @@
 //! What the judge of a soak finds in a request's history.
 
-use milletwing_trials::soak::{Outcome, Record, Run};
+use milletwing_trials::soak::{Outcome, Record, Run, Times, REMAINING};
+use std::time::Duration;
+
+const SENT: Duration = Duration::from_secs(20);
+const AT_ONCE: Times = Times { sent: SENT, ended: SENT, term: None };
 
 fn run() -> Run {
     Run { marshal: "i-1".into(), region: "north", subscriber: Some("t".into()), key: false, cut: false }
 }
 
 fn record(runs: Vec<Run>, outcome: Outcome) -> Record {
-    Record { order: true, tenant: Some("t"), homes: &["north"], edge: (20, 1), runs, outcome: Some(outcome) }
+    let (order, tenant, homes, edge) = (true, Some("t"), &["north"] as &[_], (20, 1));
+    Record { order, tenant, homes, edge, runs, outcome: Some(outcome), times: AT_ONCE }
 }
 
 fn answered(status: u16) -> Outcome {
@@ -20,8 +25,9 @@
     let sound = [
         record(vec![run()], answered(200)),
         record(vec![], answered(503)),
-        record(vec![run()], answered(502)),
-        record(vec![run()], answered(504)),
+        record(vec![], answered(502)),
+        record(vec![cut.clone()], answered(502)),
+        Record { times: Times { ended: SENT + REMAINING, ..AT_ONCE }, ..record(vec![run()], answered(504)) },
         record(vec![], Outcome::Unsent),
         record(vec![], Outcome::Closed),
         record(vec![cut], Outcome::Closed),
@@ -49,6 +55,8 @@
         ("MIXED", record(vec![run()], Outcome::Answered(200, Some("i-1".into()), false))),
         ("MIXED", record(vec![run()], Outcome::Answered(200, None, true))),
         ("LOST", record(vec![run()], Outcome::Closed)),
+        ("LOST", record(vec![run()], answered(502))),
+        ("LOST", record(vec![run()], answered(504))),
         ("LATE", record(vec![], Outcome::Silent)),
     ];
     for (rule, record) in broken {
@@ -59,3 +67,16 @@
     assert_eq!(record(vec![], Outcome::Silent).broken(true), None);
     assert_eq!(record(vec![run(), run()], Outcome::Closed).broken(true), Some("TWICE"));
 }
+
+/// An edge may break off, at the end of its time to leave, what came early in that time; nothing else.
+#[test]
+fn what_is_broken_off_around_a_sign_to_stop_counts_but_for_the_end_of_the_time_to_leave() {
+    let ends = |sent_ms: u64, ended_ms: u64| {
+        let at = |ms: u64| SENT + Duration::from_millis(ms);
+        let times = Times { sent: at(sent_ms), ended: at(ended_ms), term: Some(SENT) };
+        Record { times, ..record(vec![run()], Outcome::Closed) }.broken(false)
+    };
+    assert_eq!(ends(2_900, 3_700), None, "the last sixth of four seconds");
+    assert_eq!(ends(1_000, 3_200), Some("LOST"), "before it");
+    assert_eq!(ends(3_100, 3_700), Some("LOST"), "taken late in the time to leave");
+}
