What an edge takes while it leaves has its marshal's own word before its end

Cause: an edge took what it expected to be done by its end, twice the aim or four usual waits, and handed it to a marshal for as long as the client gives. The expectation is no bound; the time handed to the marshal is one, and it went beyond the edge's end.

Change: from SIGTERM on a marshal is handed no more than what is left until 0.25 s before the process ends. A marshal stops work at the value that it is handed and says so itself. What the edge holds to leave by stands in one type.

--- a/crates/edge-proxy/src/attempt.rs
+++ b/crates/edge-proxy/src/attempt.rs
@@ -136,9 +136,9 @@
             NoLease::Unreached => Ended::Unreached,
             NoLease::Busy => Ended::Unsent,
         })?;
-        let remaining = deadline.saturating_sub(edge.now());
+        let remaining = edge.time_to_work(deadline);
         request.headers_mut().insert(REMAINING, HeaderValue::from(remaining));
-        lease.unread.begin(Duration::from_millis(remaining));
+        lease.unread.begin(left(edge, deadline));
         if lease.sender.ready().await.is_err() {
             if lease.used {
                 fresh = true;
--- a/crates/edge-proxy/src/edge.rs
+++ b/crates/edge-proxy/src/edge.rs
@@ -14,6 +14,18 @@
 /// Milliseconds between two digests of the tables in use; with over a thousand marshals, one for each.
 const REFLECT: Time = 1_000;
 
+/// Milliseconds before this process ends by which a marshal is to be done: its answer still has to come back and go on.
+const ANSWER_TRAVEL: Time = 250;
+
+/// The time that a process has from SIGTERM to its end.
+#[derive(Clone, Copy, Debug)]
+pub struct Leaving {
+    /// From here on only what is likely to be done by the end is taken.
+    pub selective_from: Time,
+    /// This process ends.
+    pub ends: Time,
+}
+
 /// Shared by all tasks of the one thread; no borrow lives across an await.
 pub struct Edge {
     pub name: String,
@@ -25,10 +37,8 @@
     /// Clients' connections, and requests under way.
     pub connections: Cell<usize>,
     pub requests: Cell<usize>,
-    /// It leaves: no new client should come.
-    pub leaving: Cell<bool>,
-    /// When this process ends, once half of its time to leave is over: new requests are taken only if they are done by then.
-    pub ends: Cell<Option<Time>>,
+    /// It leaves: no new client should come, and what comes is done by its end.
+    pub leaving: Cell<Option<Leaving>>,
     /// It rests until the core finds that it routes by what was agreed.
     resting: Cell<bool>,
     /// The core has it end in order.
@@ -66,8 +76,7 @@
             metrics: Metrics::default(),
             connections: Cell::new(0),
             requests: Cell::new(0),
-            leaving: Cell::new(false),
-            ends: Cell::new(None),
+            leaving: Cell::new(None),
             resting: Cell::new(false),
             end: Notify::new(),
             reflection: Cell::new(None),
@@ -89,7 +98,7 @@
 
     /// Whether clients should come.
     pub fn ready(&self) -> bool {
-        !self.leaving.get() && !self.resting.get() && self.router.borrow().ready()
+        self.leaving.get().is_none() && !self.resting.get() && self.router.borrow().ready()
     }
 
     /// What the core is told.
@@ -106,11 +115,27 @@
     }
 
     /// No new client should come.
-    pub fn leave(&self) {
-        self.leaving.set(true);
+    pub fn leave(&self, leaving: Leaving) {
+        self.leaving.set(Some(leaving));
         self.changed.notify_waiters();
     }
 
+    /// Milliseconds that a marshal may work on a request, so that its own answer still passes here.
+    pub fn time_to_work(&self, deadline: Time) -> Time {
+        let leaving = self.leaving.get();
+        let until =
+            leaving.map_or(deadline, |leaving| deadline.min(leaving.ends.saturating_sub(ANSWER_TRAVEL)));
+        until.saturating_sub(self.now())
+    }
+
+    /// Whether a request that is expected to take so many milliseconds comes too late to be taken.
+    pub fn too_late(&self, expected: Time) -> bool {
+        let now = self.now();
+        self.leaving
+            .get()
+            .is_some_and(|leaving| now >= leaving.selective_from && now + expected > leaving.ends)
+    }
+
     /// Makes the digest of the tables in use, where the last one is a second old; later where they are large, so that it
     /// takes no more than a few thousandths of the processor.
     pub fn reflect(&self, now: Time) {
--- a/crates/edge-proxy/src/lib.rs
+++ b/crates/edge-proxy/src/lib.rs
@@ -20,7 +20,7 @@
 #[cfg(test)]
 mod tests;
 
-use crate::edge::Edge;
+use crate::edge::{Edge, Leaving};
 use milletwing_config::{event, Settings};
 use milletwing_metrics::Endpoint;
 use milletwing_wire::serve_metrics;
@@ -79,17 +79,14 @@
     }
     event!(Term, "{} connections, {} requests", edge.connections.get(), edge.requests.get());
     // Out of the directory and readiness at once; who still comes is served, and told to come no more.
-    edge.leave();
+    let after = |seconds: f64| edge.now() + (seconds * 1_000.0) as u64;
+    edge.leave(Leaving { selective_from: after(grace * SERVES), ends: after(grace - LAST_S) });
     let begun = tokio::time::Instant::now();
     let at = |part: f64| begun + Duration::from_secs_f64(part);
     // Clients hold a resolution for a while, some for three times as long.
     while tokio::time::Instant::now() < at(grace * 0.8)
         && (edge.connections.get() > 0 || begun.elapsed() < Duration::from_secs_f64(grace * 0.75))
     {
-        if begun.elapsed() >= Duration::from_secs_f64(grace * SERVES) {
-            let left = at(grace - LAST_S).saturating_duration_since(tokio::time::Instant::now());
-            edge.ends.set(Some(edge.now() + left.as_millis() as u64));
-        }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     accepting.abort();
--- a/crates/edge-proxy/src/relay.rs
+++ b/crates/edge-proxy/src/relay.rs
@@ -53,7 +53,7 @@
             refused(&edge, &kind, route.as_deref())
         }
     };
-    if edge.leaving.get() {
+    if edge.leaving.get().is_some() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -166,10 +166,8 @@
     let first = edge.router.borrow_mut().pick(edge.now(), &mut prepared.ticket);
     let first = first.map_err(|kind| prepared.refuse(kind))?;
     // Guards against taking what may not be done before this process ends.
-    let late = edge.ends.get().is_some_and(|ends| {
-        edge.now() + edge.router.borrow().may_take(edge.now(), &prepared.ticket, &first) > ends
-    });
-    if late {
+    let expected = edge.router.borrow().may_take(edge.now(), &prepared.ticket, &first);
+    if edge.too_late(expected) {
         edge.router.borrow_mut().ended(edge.now(), &mut prepared.ticket, &first, Ended::Unsent, None);
         return Err(prepared.refuse(Kind::Leaving));
     }
--- a/crates/edge-proxy/src/tests.rs
+++ b/crates/edge-proxy/src/tests.rs
@@ -3,10 +3,11 @@
 
 mod core_silence;
 mod guarantees;
+mod leaving;
 mod tenants;
 mod uploads;
 
-use crate::edge::Edge;
+use crate::edge::{Edge, Leaving};
 use crate::front;
 use crate::pool::{Dial, Wire};
 use crate::unread::Unread;
@@ -88,6 +89,11 @@
     }
 }
 
+/// An edge is told to end, as by SIGTERM: in so many milliseconds it takes only what is quick, and ends.
+fn leave(edge: &Edge, selective_in: u64, ends_in: u64) {
+    edge.leave(Leaving { selective_from: edge.now() + selective_in, ends: edge.now() + ends_in });
+}
+
 /// An edge that was told a configuration and marshals, and that reaches them by `dial`.
 fn edge_of(settings: &str, body: &str, nodes: impl Iterator<Item = Node>, dial: Dial) -> Rc<Edge> {
     let edge = Edge::new(Settings::read(settings).unwrap(), "10.0.0.9:8548".parse().unwrap(), dial);
@@ -370,12 +376,12 @@
             Box::pin(serve(stream, arrivals, |_, id| (answer(id).into_bytes(), true)))
         };
         let edge = edge(3, &arrivals, Rc::new(whole));
-        edge.leave();
+        leave(&edge, 60_000, 120_000);
         assert!(own(&ask(&edge, ORDER, "early").await, "early"), "in the first half of its time it serves");
         // Twice the aim of a second is left, and a little more: enough. A little less: not.
-        edge.ends.set(Some(edge.now() + 2_100));
+        leave(&edge, 0, 2_100);
         assert!(own(&ask(&edge, ORDER, "quick").await, "quick"));
-        edge.ends.set(Some(edge.now() + 1_900));
+        leave(&edge, 0, 1_900);
         for path in [LOOK, ORDER] {
             let got = ask(&edge, path, "late").await;
             assert_eq!(got.map(|it| it.status), Some(503));
--- a/crates/edge-proxy/src/tests/guarantees.rs
+++ b/crates/edge-proxy/src/tests/guarantees.rs
@@ -2,7 +2,9 @@
 //! bodies, answers without a length.
 
 use super::SILENCE;
-use super::{answer, arrivals_of_one, ask, edge, edge_over, own, request, run, serve, Arrivals, LOOK, ORDER};
+use super::{
+    answer, arrivals_of_one, ask, edge, edge_over, leave, own, request, run, serve, Arrivals, LOOK, ORDER,
+};
 use crate::front;
 use crate::pool::Wire;
 use crate::unread::Unread;
@@ -358,7 +360,7 @@
         client.write_all(b"body").await.unwrap();
         tokio::time::sleep(ms(200)).await;
         // As after SIGTERM: not ready at once, then every connection is to close.
-        edge.leave();
+        leave(&edge, 2_000, 4_000);
         assert!(!edge.ready(), "it still looks ready");
         edge.close.notify_waiters();
         let text = head(&mut client).await.expect("the answer under way");
