The soak counts a life before its process runs

Cause, by the logs: life 1 of 21 ended at 3,383 ms and the next was noted at 3,397; life 2 of 23 was killed at 3,660 and the next noted at 3,673. A page of metrics that the new process served before it had a configuration (revision 0) came between its start and the number of its life, and was put down to the life before. Ruled out: an edge that goes back; both lives had ended, one by SIGKILL.

Change: the number of a life is raised before its process is started.

Not shown by a test: the race needs a thread that waits between two lines.

--- a/crates/trials/src/soak/processes.rs
+++ b/crates/trials/src/soak/processes.rs
@@ -187,6 +187,8 @@
         let settings = self.settle(role, host, first, if first { 0 } else { host })?;
         let log = self.folder.path().join(format!("{}-{host}.log", role.word()));
         let log = File::options().create(true).append(true).open(log).map_err(|why| why.to_string())?;
+        // Counted before it runs: what it says at once must not be taken for a word of the life before.
+        let life = self.begin_life(role, host);
         let child = Command::new(&self.program)
             .arg(role.word())
             .args(["--metrics", &format!("{METRICS}/metrics")])
@@ -196,15 +198,23 @@
             .stdin(Stdio::null())
             .spawn()
             .map_err(|why| format!("{}: {why}", self.program.display()))?;
-        let machines = &mut *self.machines();
-        let life = machines.get(&host).map_or(0, |machine| machine.life) + 1;
-        let machine = Machine { role, child: Some(child), life, leaves: None, killed: false, still: false };
-        machines.insert(host, machine);
+        if let Some(machine) = self.machines().get_mut(&host) {
+            machine.child = Some(child);
+        }
         self.note(&format!("starts {host}, life {life}"));
         *self.starts.lock().unwrap_or_else(PoisonError::into_inner) += 1;
         Ok(())
     }
 
+    /// A host's next life, whose process is not there yet.
+    fn begin_life(&self, role: Role, host: u32) -> u64 {
+        let machines = &mut *self.machines();
+        let life = machines.get(&host).map_or(0, |machine| machine.life) + 1;
+        let machine = Machine { role, child: None, life, leaves: None, killed: false, still: false };
+        machines.insert(host, machine);
+        life
+    }
+
     /// Starts all machines, for the first time.
     pub fn start_all(&self) -> Result<(), String> {
         for role in [Role::Core, Role::Edge] {
