A node is refused a crowd for what crowds met there, and not for a guess

Cause, traced by id: c4-0 was refused since its answer was expected in 253 ms, where 240 are allowed: 31.7 ms, the only answer so far, to a lone request, times eight in flight. The expectation grows with the crowd without a bound, from a mean that no crowd had made. Ruled out: a node set aside, the list, the cap (all other refusals met first-0, before the list was read).

Change: for a refusal the crowd grows the mean four times at most beyond the crowd that it was seen at. Choosing among nodes is unchanged.

--- a/crates/decision/src/policy/requests.rs
+++ b/crates/decision/src/policy/requests.rs
@@ -4,6 +4,7 @@
 
 /// A mean expected answer time above this part of the tightest aim is overload; scored from 0.3 to 1.1.
 const PATIENCE: f64 = 0.8;
+const CROWD_GROWTH: f64 = 4.0; // over the crowd a node's mean was seen at: beyond it, slowness is a guess
 
 impl Marshal {
     /// Sends a request that has no attempt out, or gives it its final answer at once.
@@ -16,7 +17,9 @@
         // tried always, or, where it seldom sees us, ever less often: a bad memory can't shut it for good.
         let tightest = self.set.classes.iter().fold(class.aim, |aim, other| aim.min(other.aim));
         let patience = tightest.min(request.deadline - self.now) * PATIENCE;
-        let over = predicted / patience.0.max(1.0);
+        let at = &self.nodes[&node];
+        let crowd_growth = (f64::from(at.inflight) + 1.0) / (at.load + 1.0);
+        let over = predicted / (crowd_growth / CROWD_GROWTH).max(1.0) / patience.0.max(1.0);
         let probe = if self.seldom { over.powi(-3) } else { 1.0 };
         if request.tries == 0 && over > 1.0 && (self.nodes[&node].inflight > 0 || self.dice.part() > probe) {
             return self.give_up(id, &request, out);
--- a/crates/decision/tests/decisions/rules.rs
+++ b/crates/decision/tests/decisions/rules.rs
@@ -490,6 +490,24 @@
     assert!(turn(40.0) < 15);
 }
 
+/// Guards against a refusal by a guess: one answer to a lone request doesn't tell how slowly a crowd is served. Answers to a
+/// crowd do, and it is refused where they come late.
+#[test]
+fn a_crowd_is_refused_for_what_crowds_met_and_not_for_a_guess() {
+    let mut b = Bench::new(settings(), fleet(1, 1), 1);
+    let mut refused = |count: usize, ms: f64| {
+        let asked: Vec<_> = (0..count).map(|at| b.ask(at % 3)).collect();
+        let out: Vec<_> = asked.iter().filter_map(|(id, out)| Some((id, sent(out)?))).collect();
+        (0..(ms / 50.0) as u32).for_each(|_| b.pass(50.0));
+        out.iter().for_each(|(id, to)| drop(b.end(id, 0, to, Verdict::Ok, ms)));
+        count - out.len()
+    };
+    assert_eq!(refused(1, 50.0), 0);
+    assert_eq!(refused(8, 50.0), 0);
+    let late: usize = (0..10).map(|_| refused(8, 600.0)).sum();
+    assert!(late > 40, "{late} of 80 refused");
+}
+
 /// Guards against shutting sound servers for single spoilt answers: where each now and then breaks one, all would be
 /// set aside most of the time. One without a connection, or that breaks three in a row, is.
 #[test]
