A new leader holds each cold marshal for a whole warm-up, whatever it heard before

Cause: until when a marshal is cold is memory of each machine. A new leader took a time that it had heard in an earlier term, or in the marshal's first report, for that of the new coldness. Only where it knew none did it hold the marshal.

--- a/crates/control-plane/src/core.rs
+++ b/crates/control-plane/src/core.rs
@@ -344,6 +344,9 @@
             self.lingers.clear();
             self.registry.lead(now, &self.view, &Core::cold_for(&self.view));
         }
+        if role != Role::Leader && self.role == Role::Leader {
+            self.registry.follow();
+        }
         if leader != self.leader && role != Role::Leader {
             let name = leader.map_or("nobody".into(), |id| std::net::Ipv4Addr::from_bits(id).to_string());
             event!(Follows, "term {}: {name}", self.member.term());
--- a/crates/replicated-state/src/registry.rs
+++ b/crates/replicated-state/src/registry.rs
@@ -95,6 +95,13 @@
     held: bool,
 }
 
+impl Life {
+    /// Cold until then, whatever its beats say.
+    fn hold(&mut self, until: Time) {
+        (self.cold, self.held) = (Some(until), true);
+    }
+}
+
 /// Beats and edges as one machine of the core has heard of them.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -102,8 +109,12 @@
     edges: BTreeMap<u32, (EdgeStatus, Time)>,
     /// Ids heard since they were told to the others.
     fresh: Vec<String>,
+    /// This machine leads.
+    leads: bool,
 }
 
+/// Milliseconds from the proposal of an entry until it is in force at edges.
+const ENTRY_TRAVEL: Time = 500;
 /// An edge that was not heard for so long isn't in the directory.
 const EDGE_SILENT: Time = 1_500;
 /// Edges heard within this time are told to the others.
@@ -173,7 +184,7 @@
             Phase::Cold(_) => {
                 if left > 0 {
                     life.cold = Some(life.cold.unwrap_or(0).max(until));
-                } else if !life.held {
+                } else if !life.held && (!self.leads || life.cold.is_some()) {
                     return Verdict::Enter(Command::NodeWarm { id: id.into() });
                 }
                 Verdict::Known
@@ -264,18 +275,28 @@
         }
     }
 
-    /// This machine leads from now on: it knows nothing of how long others were silent, nor how cold they are.
+    /// This machine leads from now on: it knows nothing of how long others were silent, nor how cold they are. What it heard, or
+    /// decided in an earlier term, is no measure: a leader in between may have entered that they are cold anew, by an
+    /// order that only that leader held them for. So each cold marshal is held for the whole of its warm-up.
     pub fn lead(&mut self, now: Time, view: &View, cold_for: &dyn Fn(&str) -> f64) {
+        self.leads = true;
+        for life in self.lives.values_mut() {
+            (life.cold, life.held) = (None, false);
+        }
         for node in view.nodes.values() {
             let life = self.lives.entry(node.id.clone()).or_default();
             life.heard = now;
-            if let (Phase::Cold(_), None) = (&node.phase, life.cold) {
-                life.cold = Some(now + warmup(cold_for(&node.target)));
-                life.held = true;
+            if matches!(node.phase, Phase::Cold(_)) {
+                life.hold(now + warmup(cold_for(&node.target)));
             }
         }
     }
 
+    /// Another machine leads, or none.
+    pub fn follow(&mut self) {
+        self.leads = false;
+    }
+
     /// Marshals of a zone that is taken back: cold until their time is over, whatever their beats say, since those may
     /// have been sent before they turned cold.
     pub fn take_back(
@@ -288,8 +309,7 @@
         let mut deals = Vec::new();
         for node in view.nodes.values().filter(|node| node.zone == zone) {
             let life = self.lives.entry(node.id.clone()).or_default();
-            life.cold = Some(now + warmup(cold_for(&node.target)) + 500);
-            life.held = true;
+            life.hold(now + warmup(cold_for(&node.target)) + ENTRY_TRAVEL);
             deals.push((node.id.clone(), self.deal(now, view, &node.target, zone)));
         }
         Command::Evacuate { zone: zone.into(), on: false, sure: false, deals }
@@ -323,8 +343,7 @@
             // Guards against warming what this machine has only read of: a new leader folds earlier entries after it
             // was elected, and how long those marshals stay cold it has not heard.
             if life.cold.is_none() {
-                life.cold = Some(now + warmup(cold_for(&node.target)));
-                life.held = true;
+                life.hold(now + warmup(cold_for(&node.target)));
             }
             if life.cold.is_some_and(|until| now >= until) {
                 out.push(Command::NodeWarm { id: node.id.clone() });
