What a route names beside its target is checked as well

Cause: validity looked at the shares in use, which are the target alone where there is one.

Change: every service that a route names is known, and no share is below 0, in use or not.

Measured: what_a_route_names_beside_its_target_is_checked_too fails on the code before and passes.

--- a/crates/config/src/validity.rs
+++ b/crates/config/src/validity.rs
@@ -33,20 +33,21 @@
     subscribers(&configuration.subscribers)
 }
 
-/// A route's services are known, and one of them can be drawn.
+/// A route's services are known, also those that are not in use, and one of them can be drawn.
 fn services(name: &str, route: &Route, configuration: &Configuration) -> Result<(), Kind> {
+    let parts = route.distribution.iter().map(|part| part.target.as_str());
+    for service in route.target.as_deref().into_iter().chain(parts) {
+        if !configuration.targets.contains_key(service) {
+            return Err(Kind::UnknownService(name.into(), service.into()));
+        }
+    }
+    if route.distribution.iter().any(|part| part.share.is_nan() || part.share < 0.0) {
+        return Err(Kind::NegativeShare(name.into()));
+    }
     let shares = route.shares();
     if shares.is_empty() {
         return Err(Kind::NoService(name.into()));
     }
-    for (service, share) in &shares {
-        if !configuration.targets.contains_key(*service) {
-            return Err(Kind::UnknownService(name.into(), (*service).into()));
-        }
-        if share.is_nan() || *share < 0.0 {
-            return Err(Kind::NegativeShare(name.into()));
-        }
-    }
     if shares.iter().all(|(_, share)| *share == 0.0) {
         return Err(Kind::NoShare(name.into()));
     }
--- a/crates/config/tests/invalid.rs
+++ b/crates/config/tests/invalid.rs
@@ -37,6 +37,20 @@
     assert!(shares("0", "1").is_ok(), "one share is not");
 }
 
+/// Guards against CONFIG: what a route names beside its target was not looked at, and is the route's once the target is taken away.
+#[test]
+fn what_a_route_names_beside_its_target_is_checked_too() {
+    let route = ROUTE.replace("\"distribution\"", "\"target\":\"s\",\"distribution\"");
+    let beside = |from: &str, to: &str| read(&[("r", route.replace(from, to))], "");
+    assert!(beside("90", "90").is_ok());
+    assert_eq!(beside("\"t\"", "\"u\"").unwrap_err(), Kind::UnknownService("r".into(), "u".into()));
+    assert_eq!(beside("10", "-1").unwrap_err(), Kind::NegativeShare("r".into()));
+    assert_eq!(
+        beside("\"s\",\"dist", "\"u\",\"dist").unwrap_err(),
+        Kind::UnknownService("r".into(), "u".into())
+    );
+}
+
 #[test]
 fn two_entries_for_one_place_or_one_key_are_refused() {
     let other = |from: &str, to: &str| ROUTE.replace(from, to);
