The head of a marshal's answer may have 32 KiB

Cause: the buffer of a connection to a marshal was of one exact size, which is then the bound of a head as well.

Measured: a_marshals_long_head_is_passed_on got 502 before, 200 now.

--- a/crates/edge-proxy/src/pool.rs
+++ b/crates/edge-proxy/src/pool.rs
@@ -24,8 +24,8 @@
 /// just closed may have run.
 const IDLE: Duration = Duration::from_secs(4);
 
-/// Bytes of a connection's reading buffer: most answers fit, and idle connections are many.
-const READ: usize = 6 << 10;
+/// Bytes of the head of a marshal's answer, at most.
+const MOST_HEAD: usize = 32 << 10;
 
 struct Idle {
     sender: SendRequest<Carry>,
@@ -111,7 +111,7 @@
         let stream =
             (self.dial)(sending.address, Rc::clone(&unread)).await.map_err(|_| NoLease::Unreached)?;
         let mut builder = http1::Builder::new();
-        builder.read_buf_exact_size(Some(READ)).writev(false);
+        builder.max_buf_size(MOST_HEAD).writev(false);
         let (sender, connection) =
             builder.handshake(TokioIo::new(stream)).await.map_err(|_| NoLease::Unreached)?;
         tokio::task::spawn_local(async move {
--- a/crates/edge-proxy/src/tests.rs
+++ b/crates/edge-proxy/src/tests.rs
@@ -1,6 +1,7 @@
 //! Marshals that misbehave at each byte, on streams in memory and a clock of the test's own: whose answer a client gets, and what
 //! is sent a second time.
 
+mod answers;
 mod core_silence;
 mod guarantees;
 mod leaving;
