An answer that stalls ends ten seconds behind its last bytes, once its request's time is over

Everything that an edge holds is bounded: this was not.

Change: a streamed answer from which nothing comes ends at its request's time, or ten seconds behind its last bytes where that is later; cut, so that it does not look whole.

Measured: the new test did not end within 25 s without the line, and passes with it at 10 s of the test's clock; 37 of 37 tests of the package.

--- a/crates/edge-proxy/src/attempt.rs
+++ b/crates/edge-proxy/src/attempt.rs
@@ -3,7 +3,7 @@
 use crate::body::{gather, join, Carry, Cut, Gathered, Upload};
 use crate::edge::Edge;
 use crate::headers::{closes, strip, told_keep_alive, ATTEMPT, LOAD, NOT_EXECUTED, REMAINING, SEAL, TARGET};
-use crate::out::{Out, Streamed};
+use crate::out::{Out, StallTimer, Streamed};
 use crate::pool::{Lease, NoLease};
 use bytes::Bytes;
 use hyper::body::Body;
@@ -16,6 +16,7 @@
 use std::error::Error;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// What is left until a deadline.
 pub fn left(edge: &Edge, deadline: Time) -> Duration {
@@ -208,7 +209,9 @@
 }
 
 /// Gives a marshal's answer to the client, as it is.
-pub fn deliver(edge: &Rc<Edge>, answer: Answer, route: &Rc<Route>) -> Response<Out> {
+///
+/// `deadline`: the end of its request's time.
+pub fn deliver(edge: &Rc<Edge>, answer: Answer, route: &Rc<Route>, deadline: Time) -> Response<Out> {
     let Answer { response, body, lease, keep, exact } = answer;
     let (mut parts, ()) = response.into_parts();
     strip(&mut parts.headers);
@@ -230,6 +233,7 @@
             Out::Stream(Box::new(Streamed {
                 head: body.head,
                 rest,
+                stall: StallTimer::new(Instant::now() + left(edge, deadline)),
                 lease: Some(lease),
                 keep,
                 edge: Rc::clone(edge),
--- a/crates/edge-proxy/src/relay.rs
+++ b/crates/edge-proxy/src/relay.rs
@@ -263,7 +263,7 @@
     match answer {
         Some(answer) => {
             let route = &prepared.ticket.route;
-            Ok((deliver(edge, answer, route), route.class))
+            Ok((deliver(edge, answer, route, prepared.ticket.deadline), route.class))
         }
         None => Err(prepared.refuse(kind)),
     }
--- a/crates/edge-proxy/src/tests/answers.rs
+++ b/crates/edge-proxy/src/tests/answers.rs
@@ -1,9 +1,10 @@
-//! Answers with long heads.
+//! Answers with long heads, and answers that stall.
 
-use super::guarantees::{begin, field, head};
+use super::guarantees::{begin, field, head, ms};
 use super::{edge, run, Arrivals, Serve, LOOK};
 use std::rc::Rc;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::Instant;
 
 /// A marshal that answers with these fields and the beginning of a body, and then says nothing.
 fn begins_to_answer(fields: String, length: usize, sent: usize) -> Rc<Serve> {
@@ -34,3 +35,20 @@
         assert_eq!(field(&answer, "x-long"), Some(long));
     });
 }
+
+/// Guards against an answer that is held for ever: it ends ten seconds behind its last bytes, and does not look whole.
+#[test]
+fn an_answer_that_stalls_ends_some_time_after_its_requests_time() {
+    const LENGTH: usize = 60_000;
+    run(async {
+        let edge = edge(1, &Arrivals::default(), begins_to_answer(String::new(), LENGTH, LENGTH / 2));
+        let begun = Instant::now();
+        let mut client = begin(&edge, LOOK, 3_000, "").await;
+        assert!(head(&mut client).await.is_some());
+        let mut bytes = Vec::new();
+        let reading = tokio::time::timeout(ms(60_000), client.read_to_end(&mut bytes));
+        let _ = reading.await.expect("held for ever"); // reset or ended: what counts is that it is short
+        assert!(bytes.len() < LENGTH, "{}", bytes.len());
+        assert!(begun.elapsed() >= ms(10_000) && begun.elapsed() < ms(10_200), "{:?}", begun.elapsed());
+    });
+}
