--- a/crates/trials/src/soak/processes.rs
+++ b/crates/trials/src/soak/processes.rs
@@ -61,6 +61,14 @@
     still: bool,
 }
 
+/// A process in one life of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Running {
+    host: u32,
+    life: u64,
+    pid: Pid,
+}
+
 /// All machines.
 pub struct Site {
     base: u32,
@@ -250,6 +258,25 @@
         kill_process(pid, signal).is_ok()
     }
 
+    /// The process that a host runs now, unless it stands still.
+    pub fn running(&self, host: u32) -> Option<Running> {
+        let machines = self.machines();
+        let machine = machines.get(&host).filter(|machine| !machine.still)?;
+        Some(Running { host, life: machine.life, pid: Pid::from_raw(machine.child.as_ref()?.id() as i32)? })
+    }
+
+    /// Stops a process for a moment, or lets it go on, unless it has ended or was told to stand still; this is no harm of which
+    /// nothing would be asked. Gives whether it was done.
+    pub fn interrupt(&self, process: &Running, signal: Signal) -> bool {
+        let machines = &mut *self.machines();
+        let machine = machines.get_mut(&process.host);
+        let Some(machine) = machine.filter(|machine| machine.life == process.life && !machine.still) else {
+            return false;
+        };
+        let runs = machine.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)));
+        runs && kill_process(process.pid, signal).is_ok()
+    }
+
     /// Hosts whose processes stand still.
     pub fn still(&self) -> Vec<u32> {
         self.machines().iter().filter(|(_, machine)| machine.still).map(|(host, _)| *host).collect()
--- a/crates/trials/src/soak/schedule.rs
+++ b/crates/trials/src/soak/schedule.rs
@@ -22,6 +22,8 @@
     TermCore,
     KillCore,
     KillWholeCore,
+    KillMany,
+    ThrottleSome,
     StillCore,
     GoOn,
     MarshalLeaves,
@@ -29,7 +31,7 @@
     SettingsWithoutSignal,
 }
 
-const EVENTS: [(Event, u32); 12] = [
+const EVENTS: [(Event, u32); 14] = [
     (Event::TermEdges, 8),
     (Event::KillEdges, 3),
     (Event::StillEdges, 2),
@@ -37,6 +39,8 @@
     (Event::TermCore, 2),
     (Event::KillCore, 2),
     (Event::KillWholeCore, 1),
+    (Event::KillMany, 1),
+    (Event::ThrottleSome, 3),
     (Event::StillCore, 2),
     (Event::GoOn, 5),
     (Event::MarshalLeaves, 4),
@@ -49,6 +53,12 @@
 const WAITS: Duration = Duration::from_millis(900);
 /// One in so many things comes at once after the one before.
 const AT_ONCE: f64 = 0.35;
+/// Part of each role's processes that are killed at once, at most.
+const MANY: f64 = 0.7;
+/// A quota of a core, as schedulers of control groups have it: what a process runs of each period, and for how many.
+const QUOTA: Duration = Duration::from_millis(30);
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
+const QUOTA_PERIODS: u32 = 20;
 /// Between two looks at processes that have ended.
 const TEND: Duration = Duration::from_millis(25);
 
@@ -132,6 +142,15 @@
         Event::TermCore => send(some(site, Role::Core, 0.34, dice), Signal::TERM),
         Event::KillCore => send(some(site, Role::Core, 0.34, dice), Signal::KILL),
         Event::KillWholeCore => send(site.hosts(Role::Core), Signal::KILL),
+        Event::KillMany => {
+            let mut hosts = some(site, Role::Edge, MANY, dice);
+            hosts.extend(some(site, Role::Core, MANY, dice));
+            send(hosts, Signal::KILL)
+        }
+        Event::ThrottleSome => {
+            let role = if dice.random_bool(0.5) { Role::Edge } else { Role::Core };
+            some(site, role, 0.4, dice).into_iter().filter(|host| throttle(site, *host)).count() > 0
+        }
         Event::StillCore => {
             let core = site.hosts(Role::Core);
             let still = site.still().iter().filter(|host| core.contains(host)).count();
@@ -149,6 +168,23 @@
     }
 }
 
+/// A process has a quota of its core for a while: it runs, then stands still for the rest of each period.
+fn throttle(site: &Arc<Site>, host: u32) -> bool {
+    let Some(process) = site.running(host) else { return false };
+    let site = Arc::clone(site);
+    tokio::spawn(async move {
+        for _ in 0..QUOTA_PERIODS {
+            if !site.interrupt(&process, Signal::STOP) {
+                return;
+            }
+            tokio::time::sleep(QUOTA_PERIOD - QUOTA).await;
+            site.interrupt(&process, Signal::CONT);
+            tokio::time::sleep(QUOTA).await;
+        }
+    });
+    true
+}
+
 /// A marshal leaves, or crashes, and another comes at its address.
 fn anew(marshals: &Arc<Fleet>, dice: &mut Pcg64Mcg, in_order: bool) -> bool {
     let (fleet, at, seed) = (Arc::clone(marshals), dice.random_range(0..marshals.count()), dice.random());
