--- a/crates/system/tests/late_readers.rs
+++ b/crates/system/tests/late_readers.rs
@@ -133,32 +133,31 @@
     assert_eq!(raw(to, text.as_bytes()).map(|(status, ..)| status), Some(504));
 }
 
-/// Guards against LOST: an edge took a live marshal that had not read an order's body for a host without power, reset the
-/// connection and answered 502 in the marshal's place.
-#[test]
-fn an_order_is_answered_by_a_marshal_that_reads_its_body_late() {
-    let (cluster, _core, _edge, late) = place("late", false);
+/// An order whose marshal reads its body late, and after it has answered where `answer_first` is set: the whole body arrives. Gives the
+/// answer's status and head.
+fn read_late(name: &str, answer_first: bool) -> (u16, String) {
+    let (cluster, _core, _edge, late) = place(name, answer_first);
     let to = cluster.at(20, 8548);
     let waiting = order(to, LARGE);
     assert_eq!(late.sees(), Seen::Begun);
     let_time_pass(to);
     late.read.send(()).unwrap();
     assert_eq!(late.sees(), Seen::Body(LARGE));
-    let (status, head) = waiting.join().unwrap().expect("an answer");
+    waiting.join().unwrap().expect("an answer")
+}
+
+/// Guards against LOST: an edge took a live marshal that had not read an order's body for a host without power, reset the
+/// connection and answered 502 in the marshal's place.
+#[test]
+fn an_order_is_answered_by_a_marshal_that_reads_its_body_late() {
+    let (status, head) = read_late("late", false);
     assert!(status == 200 && head.to_ascii_lowercase().contains("x-milletwing-server-seal: seal"), "{head}");
 }
 
 /// Guards against a body cut short behind its answer: the edge reset the connection of a marshal that had answered before it read.
 #[test]
 fn the_rest_of_a_body_reaches_a_marshal_that_answered_before_it_read() {
-    let (cluster, _core, _edge, late) = place("early", true);
-    let to = cluster.at(20, 8548);
-    let waiting = order(to, LARGE);
-    assert_eq!(late.sees(), Seen::Begun);
-    let_time_pass(to);
-    late.read.send(()).unwrap();
-    assert_eq!(late.sees(), Seen::Body(LARGE));
-    assert_eq!(waiting.join().unwrap().map(|(status, _)| status), Some(200));
+    assert_eq!(read_late("early", true).0, 200);
 }
 
 /// Guards against a request that waits behind a body which its marshal answered early and has not read.
--- a/crates/trials/src/soak.rs
+++ b/crates/trials/src/soak.rs
@@ -2,6 +2,7 @@
 //! clients keep using their open connections until the process at the other end is gone. What clients, marshals and
 //! operators saw is judged when all is calm again.
 
+mod calls;
 mod clients;
 mod ledger;
 mod marshals;
--- a/crates/trials/src/soak/marshals.rs
+++ b/crates/trials/src/soak/marshals.rs
@@ -1,7 +1,8 @@
 //! Stand-ins of marshals: they run what they are sent, tell the core of themselves, leave in order and crash.
 
+use super::calls::call;
 use super::ledger::{Ledger, Run};
-use super::processes::{call, Role, Site, CONTROL};
+use super::processes::{Role, Site, CONTROL};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
--- a/crates/trials/src/soak/operator.rs
+++ b/crates/trials/src/soak/operator.rs
@@ -1,7 +1,8 @@
 //! An operator that changes the configuration in series, sends invalid ones between, and reads back what is in force.
 
+use super::calls::call;
 use super::ledger::Ledger;
-use super::processes::{call, Role, Site, CONTROL};
+use super::processes::{Role, Site, CONTROL};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
