Two that settle one host of the soak at once don't take each other's file

Cause, by soak.log: life 4 of 25 was killed at 11,373 ms and had ended at 11,374; its settings were written for its next start and, by an event of that moment, once more, both by way of one name; the second rename found no file. The start failed and was not tried again.

Change: each writes a file of its own and moves it in place.

Not shown by a test: the race needs two threads between two calls.

--- a/crates/trials/src/soak/processes.rs
+++ b/crates/trials/src/soak/processes.rs
@@ -174,11 +174,10 @@
             losses = (self.core - 1) / 2,
         );
         let path = self.folder.path().join(format!("settings{host}.toml"));
-        // Whole at any moment: a process may start, or look, just now.
-        let new = self.folder.path().join(format!("settings{host}.new"));
-        std::fs::write(&new, text)
-            .and_then(|()| std::fs::rename(&new, &path))
-            .map_err(|why| why.to_string())?;
+        // Whole at any moment: a process may start, or look, just now. A file of its own for each call: another may settle the same host.
+        let new = tempfile::NamedTempFile::new_in(self.folder.path()).map_err(|why| why.to_string())?;
+        std::fs::write(new.path(), text).map_err(|why| why.to_string())?;
+        new.persist(&path).map_err(|why| why.to_string())?;
         Ok(path)
     }
 
