--- a/crates/edge-proxy/src/unread.rs
+++ b/crates/edge-proxy/src/unread.rs
@@ -17,6 +17,9 @@
 /// Bytes that a peer's host takes whether its process reads or not.
 const ALWAYS_TAKEN: usize = 16 << 10;
 
+/// Bytes read at once, whatever room the reader has: the pieces in which answers are passed on.
+const MOST_AT_ONCE: usize = 6 << 10;
+
 /// What the peer of a connection may not have read yet, and how long it may take to read it.
 #[derive(Debug)]
 pub struct Unread {
@@ -101,7 +104,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let most = buffer.remaining().min(MOST_AT_ONCE);
+        let mut piece = ReadBuf::new(buffer.initialize_unfilled_to(most));
+        ready!(Pin::new(&mut self.stream).poll_read(context, &mut piece))?;
+        let read = piece.filled().len();
+        buffer.advance(read);
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/edge-proxy/src/unread/tests.rs
+++ b/crates/edge-proxy/src/unread/tests.rs
@@ -61,3 +61,24 @@
     stream.write_all(&vec![0; ALWAYS_TAKEN + 1]).await.unwrap();
     assert_eq!(bound(&stream), SILENCE);
 }
+
+/// Guards against reading in pieces as large as the reader's buffer, which may grow for the sake of a long head: answers came later
+/// by a twentieth where many marshals were busy. All that was sent comes, in order.
+#[tokio::test]
+async fn a_large_buffer_is_filled_in_small_pieces() {
+    let (mut stream, _, mut peer) = connected().await;
+    let sent: Vec<u8> = (0..LARGE).map(|at| at as u8).collect();
+    let all = sent.clone();
+    let writer = tokio::spawn(async move { peer.write_all(&all).await });
+    let (mut came, mut buffer) = (Vec::new(), vec![0; LARGE]);
+    while came.len() < LARGE {
+        let read = stream.read(&mut buffer).await.unwrap();
+        assert!((1..=MOST_AT_ONCE).contains(&read), "{read} bytes at once");
+        came.extend_from_slice(&buffer[..read]);
+    }
+    writer.await.unwrap().unwrap();
+    assert!(came == sent);
+    assert_eq!(stream.read(&mut buffer).await.unwrap(), 0, "the end of the stream is told");
+    let mut nothing = [0; 0];
+    assert_eq!(stream.read(&mut nothing).await.unwrap(), 0);
+}
