--- a/crates/config/src/kind.rs
+++ b/crates/config/src/kind.rs
@@ -62,6 +62,9 @@
     /// A share is below 0.
     #[display("route {_0} has a share below 0")]
     NegativeShare(#[error(not(source))] String),
+    /// A number that counts or measures is below 0: the entry, and its field.
+    #[display("{_0} has a {_1} below 0")]
+    BelowZero(String, &'static str),
     /// Every share is 0, so that no service could be drawn.
     #[display("route {_0} has no share above 0")]
     NoShare(#[error(not(source))] String),
@@ -146,7 +149,7 @@
             }
             Kind::NoService(_) | Kind::UnknownService(..) | Kind::NegativeShare(_) => (400, true, false),
             Kind::NoShare(_) | Kind::NoGuard(_) | Kind::SamePlace(..) => (400, true, false),
-            Kind::SharedKey(..) | Kind::OddName(_) => (400, true, false),
+            Kind::SharedKey(..) | Kind::OddName(_) | Kind::BelowZero(..) => (400, true, false),
             Kind::OddClass(..) | Kind::BarePrefix(_) | Kind::LongGuard(_) => (400, true, false),
             Kind::UnknownKey => (401, true, false),
             Kind::FarTarget(_) | Kind::OldRevision(..) => (400, true, false),
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod event;
 pub mod kind;
 pub mod settings;
+mod shape;
 mod validity;
 
 pub use configuration::Configuration;
--- a/crates/config/src/validity.rs
+++ b/crates/config/src/validity.rs
@@ -3,6 +3,7 @@
 
 use crate::configuration::{Configuration, Route, Subscriber};
 use crate::kind::Kind;
+use crate::shape;
 use std::collections::BTreeMap;
 
 /// The shortest time for which a route may hold a request: edges count in milliseconds.
@@ -17,6 +18,8 @@
     /// invalid.
     pub fn read(bytes: &[u8]) -> Result<Configuration, Kind> {
         let configuration = Configuration::decode(bytes)?;
+        let text = std::str::from_utf8(bytes).map_err(|problem| Kind::Unreadable(problem.to_string()))?;
+        shape::check(text).map_err(|problem| Kind::Unreadable(problem.to_string()))?;
         check(&configuration)?;
         Ok(configuration)
     }
@@ -29,6 +32,12 @@
         form(name, route)?;
         times(name, route)?;
     }
+    for (name, target) in &configuration.targets {
+        not_below_zero(name, [("warmupS", target.warmup_s), ("warmupPerS", target.warmup_per_s)])?;
+    }
+    if let Some(it) = &configuration.thresholds {
+        not_below_zero("thresholds", [("headerGuardS", it.header_guard_s), ("idleGuardS", it.idle_guard_s)])?;
+    }
     places(&configuration.routing)?;
     subscribers(&configuration.subscribers)
 }
@@ -54,6 +63,14 @@
     Ok(())
 }
 
+/// An entry's numbers that count or measure are not below 0.
+fn not_below_zero<const COUNT: usize>(entry: &str, fields: [(&'static str, f64); COUNT]) -> Result<(), Kind> {
+    match fields.into_iter().find(|(_, value)| *value < 0.0) {
+        Some((field, _)) => Err(Kind::BelowZero(entry.into(), field)),
+        None => Ok(()),
+    }
+}
+
 /// Its class is one of those named, and its prefix is one.
 fn form(name: &str, route: &Route) -> Result<(), Kind> {
     if route.class().is_none() {
@@ -67,6 +84,7 @@
 
 /// Its times are within bounds; a route that may hold a request for no time can't serve one.
 fn times(name: &str, route: &Route) -> Result<(), Kind> {
+    not_below_zero(name, [("targetS", route.target_s)])?;
     if route.guard_s.is_nan() || route.guard_s < SHORTEST_GUARD_S {
         return Err(Kind::NoGuard(name.into()));
     }
