Doubt holds a version to the end below p 0.05 only, below 0.1 while there is time

Change: below 0.1 a stage is held as long as the stages that follow have their time, below 0.05 to the end of the period. A proxy's own doubt holds once, as before.

--- a/crates/control-plane/src/core/rollouts.rs
+++ b/crates/control-plane/src/core/rollouts.rs
@@ -3,7 +3,7 @@
 use super::{Core, Judged, Time};
 use milletwing_consensus::Role;
 use milletwing_replicated_state::{Command, RollOut, State};
-use milletwing_sequential_test::{self as sequential_test, cap, pace, Report, LAST};
+use milletwing_sequential_test::{self as sequential_test, cap, latest, pace, Report, LAST};
 use milletwing_wire::Peer;
 
 impl Core {
@@ -36,9 +36,11 @@
                 (trial.nodes, trial.started) = (nodes, now);
             }
             // One that nothing has moved to its end by the end of its time goes back, doubtful ones among them.
-            let over = now >= trial.begun + roll.period_ms * 19 / 20;
-            let step =
-                if nodes == 0 { None } else { trial.tally.step(now, trial.started, pace(roll.period_ms)) };
+            let end = trial.begun + roll.period_ms * 19 / 20;
+            let over = now >= end;
+            let pace = pace(roll.period_ms);
+            let latest = latest(roll.stage, end, pace);
+            let step = if nodes == 0 { None } else { trial.tally.step(now, trial.started, pace, latest) };
             let number = roll.number;
             out.extend(match (step, over) {
                 (Some(sequential_test::Move::On), _) if roll.stage >= LAST => {
--- a/crates/routing/src/trial.rs
+++ b/crates/routing/src/trial.rs
@@ -8,7 +8,8 @@
 use milletwing_config::configuration::Class;
 use milletwing_replicated_state::RollOut;
 use milletwing_sequential_test::{
-    cap, clock, pace, Exposure, Report, Sums, Vote, Watch, CLASSES, COIN, COVARIATE_SPAN, LAST, UNSCORED,
+    cap, clock, pace, Exposure, Hold, Report, Sums, Vote, Watch, CLASSES, COIN, COVARIATE_SPAN, LAST,
+    UNSCORED,
 };
 use std::collections::VecDeque;
 
@@ -211,7 +212,9 @@
             .collect();
         due.into_iter().for_each(|number| self.timed_out(now, number));
         let clock = clock(self.stage, self.since, self.started, self.pace);
-        let vote: Option<Vote> = self.watch.judge(now, &self.sums, &self.counts, clock, self.pace);
+        // One proxy's evidence is thin: its doubt holds a stage once, the core's for longer.
+        let hold = Hold { until: clock + self.pace, after: 0.0 };
+        let vote: Option<Vote> = self.watch.judge(now, &self.sums, &self.counts, clock, hold);
         Report {
             service: service.into(),
             number: self.number,
--- a/crates/sequential-test/src/lib.rs
+++ b/crates/sequential-test/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod tally;
 
 pub use exposure::Exposure;
-pub use looks::{Report, Vote, Watch};
+pub use looks::{Hold, Report, Vote, Watch};
 pub use sums::{adjusted_test, Sums};
 pub use tally::{Move, Tally};
 
@@ -29,6 +29,8 @@
 pub const LEVEL: f64 = 0.01;
 /// Below this p the clock holds (design: ours).
 pub const HOLD_P: f64 = 0.1;
+/// Below this p what looks doubtful goes no further though its time presses: it goes back at the end (ours).
+pub const LAST_HOLD_P: f64 = 0.05;
 /// A surplus of failures below this is left alone: with many outcomes the test finds any difference (ours).
 pub const LEAST_HARM: f64 = 0.015;
 /// Classes of requests: repeatable, not repeatable, large answers.
@@ -47,11 +49,19 @@
 /// The last stage: the new version bears all.
 pub const LAST: u32 = 3;
 
+/// Milliseconds from a decision on a stage until the next one is in force at proxies and its evidence comes back.
+const STAGE_TRAVEL: Time = 500;
+
 /// Milliseconds that a stage lasts at least, for a roll-out that may take so long.
 pub fn pace(period_ms: u64) -> Time {
     (period_ms / 12).clamp(500, 2_000)
 }
 
+/// When a stage has to move on for those that follow to have their time before a trial's end.
+pub fn latest(stage: u32, end: Time, pace: Time) -> Time {
+    end.saturating_sub(Time::from(LAST.saturating_sub(stage)) * (pace + STAGE_TRAVEL))
+}
+
 /// When a stage may move on without a look: it began then, and the newest marshal of the new version registered then. The
 /// first stage waits for marshals that are cold and give no evidence yet (design: 4 s; ours: as the period allows).
 pub fn clock(stage: u32, since: Time, started: Time, pace: Time) -> Time {
--- a/crates/sequential-test/src/looks.rs
+++ b/crates/sequential-test/src/looks.rs
@@ -31,14 +31,21 @@
     pub vote: Option<Vote>,
 }
 
+/// For how long a stage is held that looks doubtful.
+#[derive(Clone, Copy, Debug)]
+pub struct Hold {
+    /// Below [`HOLD_P`] until then.
+    pub until: Time,
+    /// And below this p for good.
+    pub after: f64,
+}
+
 /// Evidence, looks and the vote of one stage.
 #[derive(Clone, Debug, Default)]
 pub struct Watch {
     looks: u32,
     /// Outcomes of the new version at the next look.
     next: f64,
-    /// The clock's hold ends then.
-    held: Option<Time>,
     vote: Option<Vote>,
 }
 
@@ -48,7 +55,7 @@
         Watch { next: outcomes + LEAST, ..Watch::default() }
     }
 
-    /// Judges. `clock`: when the stage may move on without a look; `hold`: for how long it is held where it looks doubtful.
+    /// Judges. `clock`: when the stage may move on without a look.
     /// A vote back stays.
     pub fn judge(
         &mut self,
@@ -56,7 +63,7 @@
         sums: &[[Sums; 2]; CLASSES],
         counts: &[f64; CLASSES],
         clock: Time,
-        hold: Time,
+        hold: Hold,
     ) -> Option<Vote> {
         if self.vote == Some(Vote::Back) {
             return self.vote;
@@ -75,9 +82,9 @@
         }
         // By all that is known now: what has passed a look may look doubtful since.
         if now >= clock && self.vote != Some(Vote::Back) {
-            let doubtful = p < HOLD_P && delta > LEAST_HARM;
-            let held = *self.held.get_or_insert(now.saturating_add(hold));
-            self.vote = Some(if doubtful && now < held { Vote::Hold } else { Vote::On });
+            let level = if now < hold.until { HOLD_P } else { hold.after };
+            let doubtful = p < level && delta > LEAST_HARM;
+            self.vote = Some(if doubtful { Vote::Hold } else { Vote::On });
         }
         self.vote
     }
--- a/crates/sequential-test/src/tally.rs
+++ b/crates/sequential-test/src/tally.rs
@@ -1,7 +1,7 @@
 //! What the core makes of all proxies' votes, and of their sums added up: a proxy of a large fleet sees a few outcomes a
 //! second, so that its own looks alone would find a bad version late.
 
-use crate::{clock, Report, Sums, Time, Vote, Watch, CLASSES};
+use crate::{clock, Hold, Report, Sums, Time, Vote, Watch, CLASSES, LAST_HOLD_P};
 use serde::Serialize;
 use std::collections::BTreeMap;
 
@@ -121,8 +121,9 @@
     }
 
     /// What follows now, if anything. `started`: when the newest marshal of the new version registered; `pace`: how long a
-    /// stage lasts at least. What looks doubtful does not move on by time: more requests would be shown to it.
-    pub fn step(&mut self, now: Time, started: Time, pace: Time) -> Option<Move> {
+    /// stage lasts at least; `latest`: when it has to move on for those that follow to have their time. What looks doubtful does not
+    /// move on before that, nor then if there is much doubt: more requests would be shown to it.
+    pub fn step(&mut self, now: Time, started: Time, pace: Time, latest: Time) -> Option<Move> {
         let fresh =
             || self.reports.values().filter(|(at, _)| now.saturating_sub(*at) <= FRESH).map(|(_, it)| it);
         let here = || fresh().filter(|report| report.stage == self.stage);
@@ -133,7 +134,8 @@
         }
         let (sums, counts) = self.pool();
         let clock = clock(self.stage, self.since, started, pace);
-        let pooled = self.pooled.judge(now, &sums, &counts, clock, Time::MAX);
+        let pooled =
+            self.pooled.judge(now, &sums, &counts, clock, Hold { until: latest, after: LAST_HOLD_P });
         if pooled == Some(Vote::Back) {
             return Some(Move::Back);
         }
