--- a/crates/config/src/event.rs
+++ b/crates/config/src/event.rs
@@ -56,6 +56,7 @@
     "M162" NodeAvoided Info "a marshal is unreachable and avoided for a while",
     "M163" Suspected Info "a marshal that edges cannot reach was taken out of service, is being probed or is back",
     "M164" ConnectionBroken Debug "a connection to a marshal broke during a request, with id, marshal and the network's error",
+    "M165" ShutdownAdmission Debug "a request came during the shutdown of an edge: accepted or refused, with its id and the times that decided",
     "M170" Drifted Warn "an edge does not route by the committed state: which edge, since when and how it shows",
     "M171" Repairs Warn "a step to repair a drifted edge was committed, or the edge executes it",
     "M172" Recovered Info "a drifted edge routes by the committed state again",
--- a/crates/edge-proxy/src/attempt.rs
+++ b/crates/edge-proxy/src/attempt.rs
@@ -9,6 +9,7 @@
 };
 use crate::pool::{AcquireError, Lease};
 use crate::response_body::{ResponseBody, StallTimer, StreamedBody};
+use crate::shutdown::RequestLimits;
 use bytes::Bytes;
 use hyper::body::Body;
 use hyper::header::{self, HeaderValue};
@@ -89,12 +90,15 @@
 }
 
 /// Sends a request to a marshal and waits for the response until the deadline.
+///
+/// The outcome is [`AttemptOutcome::NotSent`] if this process has begun to shut down meanwhile and
+/// the request is no longer admitted.
 pub fn send<'a>(
     edge: &Rc<Edge>,
     parts: &Parts,
     request_body: &mut RequestBody,
     attempt: Attempt,
-    deadline: Time,
+    limits: RequestLimits,
     id: &'a str,
 ) -> impl std::future::Future<Output = FinishedAttempt> + 'a {
     let edge = Rc::clone(edge);
@@ -114,8 +118,8 @@
                 *request.method_mut() = method;
                 *request.uri_mut() = target;
                 *request.headers_mut() = headers;
-                let timeout = time_left(&edge, deadline);
-                let exchange = send_and_check(&edge, &attempt, request, deadline, id, &mut load);
+                let timeout = time_left(&edge, limits.deadline);
+                let exchange = send_and_check(&edge, &attempt, request, limits, id, &mut load);
                 match tokio::time::timeout(timeout, exchange).await {
                     Ok(Ok((outcome, response))) => (outcome, Some(response)),
                     Ok(Err(outcome)) => (outcome, None),
@@ -134,7 +138,7 @@
     edge: &Rc<Edge>,
     attempt: &Attempt,
     mut request: Request<OutgoingBody>,
-    deadline: Time,
+    limits: RequestLimits,
     id: &str,
     load: &mut Option<Load>,
 ) -> Result<(AttemptOutcome, MarshalResponse), AttemptOutcome> {
@@ -145,9 +149,9 @@
             AcquireError::ConnectFailed => AttemptOutcome::ConnectFailed,
             AcquireError::AtLimit => AttemptOutcome::NotSent,
         })?;
-        let remaining = edge.processing_time_left(deadline);
+        let remaining = edge.processing_time_left(limits.deadline);
         request.headers_mut().insert(REMAINING_MS, HeaderValue::from(remaining));
-        lease.unread.start_message(time_left(edge, deadline));
+        lease.unread.start_message(time_left(edge, limits.deadline));
         if lease.sender.ready().await.is_err() {
             if lease.reused {
                 new_only = true;
@@ -155,6 +159,11 @@
             }
             return Err(AttemptOutcome::ConnectFailed);
         }
+        // The shutdown may have begun while a connection was opened.
+        if !edge.admits(limits) {
+            edge.pool.release(lease, None);
+            return Err(AttemptOutcome::NotSent);
+        }
         match lease.sender.try_send_request(request).await {
             Ok(response) => break (lease, response),
             Err(mut error) => match error.take_message() {
--- a/crates/edge-proxy/src/edge.rs
+++ b/crates/edge-proxy/src/edge.rs
@@ -3,6 +3,7 @@
 
 use crate::metrics::Metrics;
 use crate::pool::{Connector, Pool};
+use crate::shutdown::{RequestLimits, ShutdownSchedule};
 use milletwing_config::{event, Settings};
 use milletwing_drift_detection::{Digest, Step, TableDigest};
 use milletwing_replicated_state::{EdgeStatus, View};
@@ -16,19 +17,6 @@
 /// millisecond per marshal.
 const DIGEST_INTERVAL_MS: Time = 1_000;
 
-/// Milliseconds before the process exits by which a marshal must have finished, so that its
-/// response can still be received and forwarded.
-const RESPONSE_RETURN_MS: Time = 250;
-
-/// When the phases of a shutdown begin, from SIGTERM to the exit of the process.
-#[derive(Clone, Copy, Debug)]
-pub struct ShutdownSchedule {
-    /// From this time on, only requests that are likely to finish before `exits_at` are accepted.
-    pub selective_from: Time,
-    /// The process exits.
-    pub exits_at: Time,
-}
-
 /// State shared by all tasks. They run on one thread, and no borrow is held across an await.
 pub struct Edge {
     pub name: String,
@@ -41,8 +29,8 @@
     pub connections: Cell<usize>,
     /// Requests in flight.
     pub requests: Cell<usize>,
-    /// Set once a shutdown has begun: the edge attracts no new clients, and accepts only what
-    /// finishes before it exits.
+    /// Set once a shutdown has begun: the edge attracts no new clients, and accepts only requests
+    /// whose outcome is not lost with the process.
     pub shutdown: Cell<Option<ShutdownSchedule>>,
     /// Out of service by order of the core, until the core finds that the edge routes by the agreed
     /// state.
@@ -124,28 +112,25 @@
         }
     }
 
-    /// Takes the edge out of service and sets when it exits.
-    pub fn begin_shutdown(&self, shutdown: ShutdownSchedule) {
-        self.shutdown.set(Some(shutdown));
+    /// Takes the edge out of service; the process ends after the given grace period, in
+    /// milliseconds.
+    pub fn begin_shutdown(&self, grace: Time) {
+        self.shutdown.set(Some(ShutdownSchedule::new(self.now(), grace)));
         self.status_changed.notify_waiters();
     }
 
     /// Milliseconds that a marshal may spend on a request so that its response can still be
-    /// forwarded before the deadline and before this process exits.
+    /// forwarded before the deadline and before this process ends.
     pub fn processing_time_left(&self, deadline: Time) -> Time {
         let shutdown = self.shutdown.get();
-        let work_deadline = shutdown
-            .map_or(deadline, |shutdown| deadline.min(shutdown.exits_at.saturating_sub(RESPONSE_RETURN_MS)));
+        let work_deadline = shutdown.map_or(deadline, |shutdown| shutdown.work_deadline(deadline));
         work_deadline.saturating_sub(self.now())
     }
 
-    /// Whether a request that is expected to take `expected` milliseconds would not finish before
-    /// this process exits.
-    pub fn is_too_late(&self, expected: Time) -> bool {
-        let now = self.now();
-        self.shutdown
-            .get()
-            .is_some_and(|shutdown| now >= shutdown.selective_from && now + expected > shutdown.exits_at)
+    /// Whether a request may be sent to a marshal: always, unless this process ends so soon that
+    /// the outcome could be lost.
+    pub fn admits(&self, limits: RequestLimits) -> bool {
+        self.shutdown.get().is_none_or(|shutdown| shutdown.admits(self.now(), limits))
     }
 
     /// Makes a new digest of the routing tables if the last one is a second old. With large tables
--- a/crates/edge-proxy/src/lib.rs
+++ b/crates/edge-proxy/src/lib.rs
@@ -7,6 +7,7 @@
 //!   decisions of the routing crate, and `attempt` sends it to one marshal.
 //! - `headers` holds the header fields of the protocol; `body` and `response_body` carry request
 //!   and response bodies.
+//! - `shutdown` decides which requests are still sent to marshals after SIGTERM.
 //! - `pool` keeps connections to marshals, and `user_timeout` sets their TCP user timeout.
 //!   `health_probes` queries the health of marshals while the core is unreachable.
 //! - `core_feed` follows the core; `metrics` and `metrics_page` count and publish metrics.
@@ -26,13 +27,14 @@
 mod relay;
 mod response_body;
 mod server;
+mod shutdown;
 mod user_timeout;
 mod validation;
 
 #[cfg(test)]
 mod tests;
 
-use crate::edge::{Edge, ShutdownSchedule};
+use crate::edge::Edge;
 use milletwing_config::{event, Settings};
 use milletwing_metrics::Endpoint;
 use milletwing_wire::serve_metrics;
@@ -43,12 +45,9 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 
-/// Fraction of the grace period after SIGTERM during which every request is accepted. Later, only
-/// requests that are likely to finish before the process exits are accepted; the others are refused
-/// at once, so that the client retries at another edge.
-const ACCEPT_ALL_FRACTION: f64 = 0.5;
-/// Seconds before the end of the grace period at which the process exits by itself.
-const EXIT_MARGIN_S: f64 = 0.25;
+/// Fractions of the grace period after SIGTERM: connections are accepted until the first at least,
+/// and until the second while there are open ones.
+const ACCEPT_FRACTIONS: (f64, f64) = (0.75, 0.8);
 
 /// Completes when the process is to shut down gracefully.
 pub type ShutdownSignal = Pin<Box<dyn Future<Output = ()>>>;
@@ -95,23 +94,20 @@
     event!(Term, "{} connections, {} requests", edge.connections.get(), edge.requests.get());
     // The edge leaves the directory and stops being ready at once. Clients that still connect are
     // served, with `Connection: close`.
-    let time_after = |seconds: f64| edge.now() + (seconds * 1_000.0) as u64;
-    edge.begin_shutdown(ShutdownSchedule {
-        selective_from: time_after(grace * ACCEPT_ALL_FRACTION),
-        exits_at: time_after(grace - EXIT_MARGIN_S),
-    });
+    let grace = Duration::from_secs_f64(grace);
+    edge.begin_shutdown(grace.as_millis() as u64);
     let started = tokio::time::Instant::now();
-    let instant_at = |seconds: f64| started + Duration::from_secs_f64(seconds);
     // Clients cache a name resolution for some time, and some clients three times as long as
     // others, so new connections are accepted for most of the grace period.
-    while tokio::time::Instant::now() < instant_at(grace * 0.8)
-        && (edge.connections.get() > 0 || started.elapsed() < Duration::from_secs_f64(grace * 0.75))
+    while started.elapsed() < grace.mul_f64(ACCEPT_FRACTIONS.0)
+        || (started.elapsed() < grace.mul_f64(ACCEPT_FRACTIONS.1) && edge.connections.get() > 0)
     {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     accept_task.abort();
     edge.close_connections.notify_waiters();
-    while tokio::time::Instant::now() < instant_at(grace - EXIT_MARGIN_S) && edge.connections.get() > 0 {
+    // A request in progress is not ended by this process: it has until the platform kills it.
+    while started.elapsed() < grace && edge.connections.get() > 0 {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     event!(Ended, "{} requests left", edge.requests.get());
--- a/crates/edge-proxy/src/relay.rs
+++ b/crates/edge-proxy/src/relay.rs
@@ -7,6 +7,7 @@
 use crate::edge::Edge;
 use crate::headers::{remove_hop_by_hop, set_tenant, tenant_key, ATTEMPT_ID, KEY_SCHEME, REMAINING_MS};
 use crate::response_body::ResponseBody;
+use crate::shutdown::RequestLimits;
 use crate::validation::check_request;
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -108,6 +109,10 @@
 }
 
 impl PreparedRequest {
+    fn limits(&self) -> RequestLimits {
+        RequestLimits { deadline: self.routed.deadline, retry_safe: self.routed.route.class.is_retry_safe() }
+    }
+
     fn refuse(&self, kind: ErrorKind) -> Refusal {
         Refusal { kind, id: self.id.clone(), route: Some(Rc::clone(&self.routed.route)) }
     }
@@ -183,25 +188,33 @@
     exchange: &Rc<Exchange>,
 ) -> Result<(Response<ResponseBody>, TrafficClass), Refusal> {
     let mut prepared = prepare(edge, request, exchange).await?;
-    let first = edge.router.borrow_mut().start_attempt(edge.now(), &mut prepared.routed);
-    let first = first.map_err(|kind| prepared.refuse(kind))?;
-    // Refuses a request that is unlikely to finish before this process exits.
-    let expected = edge.router.borrow().expected_duration_bound(edge.now(), &prepared.routed, &first);
-    if edge.is_too_late(expected) {
-        edge.router.borrow_mut().finish_attempt(
-            edge.now(),
-            &mut prepared.routed,
-            &first,
-            AttemptOutcome::NotSent,
-            None,
-        );
+    log_admission(edge, &prepared);
+    if !edge.admits(prepared.limits()) {
         return Err(prepared.refuse(ErrorKind::ShuttingDown));
     }
+    let first = edge.router.borrow_mut().start_attempt(edge.now(), &mut prepared.routed);
+    let first = first.map_err(|kind| prepared.refuse(kind))?;
     let request_info = [prepared.id.as_str(), prepared.host.as_str(), prepared.parts.uri.path()];
     edge.router.borrow_mut().record_sample(edge.now(), request_info, &prepared.routed, &first);
     try_marshals(edge, &mut prepared, first).await
 }
 
+/// Logs, during a shutdown, on what grounds a request is accepted or refused.
+fn log_admission(edge: &Edge, prepared: &PreparedRequest) {
+    let Some(shutdown) = edge.shutdown.get() else { return };
+    let limits = prepared.limits();
+    let verdict = if edge.admits(limits) { "accepted" } else { "refused" };
+    let class = prepared.routed.route.class;
+    let deadline = limits.deadline.saturating_sub(edge.now());
+    let given = edge.processing_time_left(limits.deadline);
+    let exit = shutdown.time_left(edge.now());
+    event!(
+        ShutdownAdmission,
+        "{}: {verdict}, {class:?}, deadline in {deadline} ms, marshal gets {given} ms, exit in {exit} ms",
+        prepared.id
+    );
+}
+
 /// Sends a request to one marshal after another, with a hedged attempt at a second one if the first
 /// is slow, until one has served it, no further attempt is allowed, or the deadline has passed.
 async fn try_marshals(
@@ -209,14 +222,14 @@
     prepared: &mut PreparedRequest,
     first: Attempt,
 ) -> Result<(Response<ResponseBody>, TrafficClass), Refusal> {
-    let (deadline, id) = (prepared.routed.deadline, prepared.id.clone());
-    let mut deadline_timer = std::pin::pin!(tokio::time::sleep(time_left(edge, deadline)));
+    let (limits, id) = (prepared.limits(), prepared.id.clone());
+    let mut deadline_timer = std::pin::pin!(tokio::time::sleep(time_left(edge, limits.deadline)));
     let hedge_delay = edge.router.borrow().hedge_delay(&prepared.routed, &first);
     let mut hedge_timer = std::pin::pin!(tokio::time::sleep(Duration::from_millis(hedge_delay.unwrap_or(0))));
     let mut hedge_pending = hedge_delay.is_some() && prepared.body.can_send();
     let mut running = FuturesUnordered::new();
     let mut latest = first.clone();
-    running.push(send(edge, &prepared.parts, &mut prepared.body, first, deadline, &id));
+    running.push(send(edge, &prepared.parts, &mut prepared.body, first, limits, &id));
     loop {
         tokio::select! {
             biased;
@@ -225,7 +238,10 @@
                 if outcome == AttemptOutcome::Served && response.is_some() {
                     return final_response(edge, prepared, response, ErrorKind::MarshalDisconnected);
                 }
-                if prepared.body.can_send() && edge.router.borrow().may_retry(edge.now(), &prepared.routed, outcome) {
+                let may_retry = prepared.body.can_send()
+                    && edge.admits(limits)
+                    && edge.router.borrow().may_retry(edge.now(), &prepared.routed, outcome);
+                if may_retry {
                     let next = edge.router.borrow_mut().start_attempt(edge.now(), &mut prepared.routed);
                     match next {
                         Ok(next) => {
@@ -237,7 +253,7 @@
                                 hedge_timer.as_mut().reset(until);
                             }
                             latest = next.clone();
-                            running.push(send(edge, &prepared.parts, &mut prepared.body, next, deadline, &id));
+                            running.push(send(edge, &prepared.parts, &mut prepared.body, next, limits, &id));
                             hedge_pending = hedge_delay.is_some() && prepared.body.can_send();
                         }
                         Err(kind) if running.is_empty() => return final_response(edge, prepared, response, kind),
@@ -246,16 +262,16 @@
                     continue;
                 }
                 if running.is_empty() {
-                    let kind = refusal_kind(&prepared.routed, outcome);
+                    let kind = refusal_kind(edge, prepared, outcome);
                     return final_response(edge, prepared, response, kind);
                 }
             }
-            _ = hedge_timer.as_mut(), if hedge_pending => {
+            _ = hedge_timer.as_mut(), if hedge_pending && edge.admits(limits) => {
                 hedge_pending = false;
                 edge.router.borrow_mut().record_timeout(edge.now(), &latest);
                 let next = edge.router.borrow_mut().start_attempt(edge.now(), &mut prepared.routed);
                 if let Ok(next) = next {
-                    running.push(send(edge, &prepared.parts, &mut prepared.body, next, deadline, &id));
+                    running.push(send(edge, &prepared.parts, &mut prepared.body, next, limits, &id));
                 }
             }
             _ = deadline_timer.as_mut() => return Err(prepared.refuse(ErrorKind::ResponseTimeout)),
@@ -302,10 +318,11 @@
 }
 
 /// The reason given to the client when there is no response of a marshal.
-fn refusal_kind(routed: &RoutedRequest, outcome: AttemptOutcome) -> ErrorKind {
+fn refusal_kind(edge: &Edge, prepared: &PreparedRequest, outcome: AttemptOutcome) -> ErrorKind {
     match outcome {
         AttemptOutcome::TimedOut => ErrorKind::ResponseTimeout,
-        _ if routed.may_have_run => ErrorKind::MarshalDisconnected,
+        _ if prepared.routed.may_have_run => ErrorKind::MarshalDisconnected,
+        _ if !edge.admits(prepared.limits()) => ErrorKind::ShuttingDown,
         AttemptOutcome::Rejected | AttemptOutcome::WrongInstance => ErrorKind::RejectedByMarshal,
         _ => ErrorKind::NoReachableMarshal,
     }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -192,8 +192,6 @@
 const LOAD_REPORT_WEIGHT: f64 = 0.02;
 /// Maximum length in characters of a host, path or id in a sample.
 const MAX_SAMPLE_CHARS: usize = 128;
-/// Multiple of the expected latency that a response only rarely exceeds.
-const DURATION_BOUND_FACTOR: f64 = 4.0;
 /// Fraction of the target latency within which a canary is expected to answer.
 const CANARY_LATENCY_SHARE: f64 = 0.5;
 /// Milliseconds without contact to the control plane after which no more requests go to a version
--- a/crates/routing/src/router/selection.rs
+++ b/crates/routing/src/router/selection.rs
@@ -2,8 +2,8 @@
 
 use super::{
     max_connections, unconfirmed_limit, Attempt, RequestHead, RoutedRequest, Router, CANARY_LATENCY_SHARE,
-    DURATION_BOUND_FACTOR, EXPOSURE_CONTACT_LIMIT, LOAD_FACTOR_PER_RANK, MAX_LOAD_FACTOR, NETWORK_LATENCY,
-    RETRY_BUDGET_FRACTION, TRANSFER_COST_PER_KB,
+    EXPOSURE_CONTACT_LIMIT, LOAD_FACTOR_PER_RANK, MAX_LOAD_FACTOR, NETWORK_LATENCY, RETRY_BUDGET_FRACTION,
+    TRANSFER_COST_PER_KB,
 };
 use crate::table::Route;
 use crate::trial::{PendingAttempt, Trial};
@@ -273,16 +273,4 @@
             self.services.get(&request.service).map_or(50.0, |service| service.mean_latency);
         Some((request.route.target_latency as f64 * 0.6).max(4.0 * marshal_mean.max(typical_latency)) as Time)
     }
-
-    /// Upper estimate of an attempt's duration in milliseconds: a multiple of the expected latency,
-    /// and at least twice the target latency.
-    pub fn expected_duration_bound(&self, now: Time, request: &RoutedRequest, attempt: &Attempt) -> Time {
-        let service = self.services.get(&request.service);
-        let (typical_latency, other_load) =
-            service.map_or((50.0, 0.0), |service| (service.mean_latency, service.other_load));
-        let marshal = self.marshals.get(&attempt.marshal_key);
-        let latency = marshal
-            .map_or(typical_latency, |marshal| marshal.expected_latency(now, typical_latency, other_load));
-        (2 * request.route.target_latency).max((DURATION_BOUND_FACTOR * latency) as Time)
-    }
 }
