--- a/crates/trials/src/soak/ledger.rs
+++ b/crates/trials/src/soak/ledger.rs
@@ -123,7 +123,8 @@
 /// How long a client says that it waits, and how close to that an edge may call a request's time over.
 pub const REMAINING: Duration = Duration::from_secs(3);
 const CLOSE_TO_THE_END: Duration = Duration::from_millis(100);
-/// A request that is sent within so long of its edge's SIGTERM may be broken off in the last sixth of the edge's time to leave.
+/// A request that is sent within so long of its edge's SIGTERM may be broken off in the last sixth of the edge's time to leave; not an
+/// order, which can't be sent again: an edge that leaves takes it only where it outlasts the client's time.
 const EXCUSED_SENT: Duration = Duration::from_secs(3);
 const EXCUSED_FROM: Duration = Duration::from_millis(GRACE_S * 1_000 * 5 / 6);
 /// Things told of one rule at most.
@@ -304,7 +305,8 @@
     fn must_be_answered(&self) -> bool {
         let Times { sent, ended, term } = self.times;
         let in_time = ended < sent + REMAINING - CLOSE_TO_THE_END;
-        let excused = term.is_some_and(|term| sent <= term + EXCUSED_SENT && ended >= term + EXCUSED_FROM);
+        let excused = !self.order
+            && term.is_some_and(|term| sent <= term + EXCUSED_SENT && ended >= term + EXCUSED_FROM);
         in_time && !excused && !self.runs.iter().any(|run| run.cut)
     }
 
--- a/crates/trials/src/soak/marshals.rs
+++ b/crates/trials/src/soak/marshals.rs
@@ -31,6 +31,11 @@
 pub const UPLOAD: u8 = b'u';
 /// Milliseconds until a marshal reads an upload that it has begun on, or answered.
 const READS_LATE_MS: std::ops::Range<u64> = 100..1_500;
+/// Milliseconds of work on most requests; of work so long that a signal comes meanwhile; and of work that
+/// outlasts what an edge that leaves has left.
+const SHORT_WORK_MS: std::ops::Range<u64> = 1..30;
+const LONG_WORK_MS: std::ops::Range<u64> = 200..900;
+const OVERRUNNING_WORK_MS: std::ops::Range<u64> = 900..2_900;
 /// Bytes of a large answer.
 const LARGE: usize = 60_000;
 
@@ -283,11 +288,11 @@
         }
         let work = {
             let mut dice = self.dice.lock().unwrap_or_else(PoisonError::into_inner);
-            // Mostly short, now and then so long that a signal comes meanwhile.
-            if dice.random_bool(0.05) {
-                dice.random_range(200..900)
-            } else {
-                dice.random_range(1..30)
+            // Without regard to the time that it was given: a late marshal does not keep to it either.
+            match dice.random_range(0..100) {
+                0..2 => dice.random_range(OVERRUNNING_WORK_MS),
+                2..7 => dice.random_range(LONG_WORK_MS),
+                _ => dice.random_range(SHORT_WORK_MS),
             }
         };
         tokio::time::sleep(Duration::from_millis(work)).await;
--- a/crates/trials/tests/soak.rs
+++ b/crates/trials/tests/soak.rs
@@ -68,15 +68,18 @@
     assert_eq!(record(vec![run(), run()], Outcome::Closed).broken(true), Some("TWICE"));
 }
 
-/// An edge may break off, at the end of its time to leave, what came early in that time; nothing else.
+/// An edge may break off, at the end of its time to leave, what came early in that time and may be sent again; nothing else.
 #[test]
 fn what_is_broken_off_around_a_sign_to_stop_counts_but_for_the_end_of_the_time_to_leave() {
-    let ends = |sent_ms: u64, ended_ms: u64| {
+    let ends = |order: bool, sent_ms: u64, ended_ms: u64| {
         let at = |ms: u64| SENT + Duration::from_millis(ms);
         let times = Times { sent: at(sent_ms), ended: at(ended_ms), term: Some(SENT) };
-        Record { times, ..record(vec![run()], Outcome::Closed) }.broken(false)
+        Record { order, times, ..record(vec![run()], Outcome::Closed) }.broken(false)
     };
-    assert_eq!(ends(2_900, 3_700), None, "the last sixth of four seconds");
-    assert_eq!(ends(1_000, 3_200), Some("LOST"), "before it");
-    assert_eq!(ends(3_100, 3_700), Some("LOST"), "taken late in the time to leave");
+    assert_eq!(ends(false, 2_900, 3_700), None, "the last sixth of four seconds");
+    assert_eq!(ends(true, 2_900, 3_700), Some("LOST"), "an order can't be sent again");
+    for order in [false, true] {
+        assert_eq!(ends(order, 1_000, 3_200), Some("LOST"), "before it");
+        assert_eq!(ends(order, 3_100, 3_700), Some("LOST"), "taken late in the time to leave");
+    }
 }
