--- a/crates/system/tests/end_to_end.rs
+++ b/crates/system/tests/end_to_end.rs
@@ -415,6 +415,10 @@
     let (second, _) = start_marshal(cluster.address(101, 0), "i-2");
     assert_eq!(cluster.send_heartbeat(&[1], "i-1", first), 200);
     assert_eq!(cluster.send_heartbeat(&[1], "i-2", second), 200);
+    // A heartbeat is acknowledged once its entry is committed, which the machine behind the proxy may learn
+    // later. An edge that it serves before that would miss the marshal's arrival in place of its departure,
+    // and nothing would differ.
+    core[0].wait_for_log("M140 i-2");
     let remaining_drops = cluster.start_lossy_proxy(9, 1);
     let edge = cluster.start_with_seeds("edge-proxy", 20, true, &[9]);
     edge.wait_for_log("M150");
