--- a/crates/control-plane/tests/bounds.rs
+++ b/crates/control-plane/tests/bounds.rs
@@ -10,15 +10,9 @@
 use milletwing_replicated_state::view::MAX_ADMITTED_BYTES;
 use milletwing_replicated_state::{Beat, View};
 use milletwing_wire::Answer;
-use simulation::{ms, SharedSimulation, Simulation, REPLICAS};
-use std::future::Future;
+use simulation::{ms, run, SharedSimulation, Simulation, REPLICAS};
 use tokio::time::sleep;
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-    tokio::task::LocalSet::new().block_on(&runtime.unwrap(), test);
-}
-
 async fn leader(simulation: &SharedSimulation) -> SharedCore {
     for _ in 0..1_000 {
         let leading = simulation.cores().into_iter().find(|(_, core)| {
--- a/crates/control-plane/tests/catch_up.rs
+++ b/crates/control-plane/tests/catch_up.rs
@@ -8,7 +8,7 @@
 
 use milletwing_control_plane::core::Core;
 use milletwing_wire::Answer;
-use simulation::{ms, SharedSimulation, Simulation};
+use simulation::{ms, run, SharedSimulation, Simulation};
 use std::fmt::Write;
 use tokio::time::{sleep, Instant};
 
@@ -66,18 +66,14 @@
 #[ignore = "a measurement"]
 fn time_to_catch_up() {
     for (changes, routes) in [(100, 10), (1_000, 10), (10_000, 10), (100, 5_200)] {
-        let runtime =
-            tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap();
-        let (time, state) = tokio::task::LocalSet::new().block_on(&runtime, measure(changes, routes));
+        let (time, state) = run(measure(changes, routes));
         println!("{changes} changes, {routes} routes: {time} ms, a state of {state} bytes");
     }
 }
 
 #[test]
 fn a_replica_that_missed_two_hundred_changes_serves_the_newest() {
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap();
-    let (time, _) = tokio::task::LocalSet::new().block_on(&runtime, measure(200, 10));
+    let (time, _) = run(measure(200, 10));
     // Less than the two election timeouts after which the leader sends entries again unasked.
     assert!(time < 600, "{time} ms of simulated time");
 }
--- a/crates/control-plane/tests/control.rs
+++ b/crates/control-plane/tests/control.rs
@@ -8,6 +8,7 @@
 #[path = "control/history.rs"]
 mod history;
 #[path = "control/simulation.rs"]
+#[allow(dead_code)]
 mod simulation;
 
 use callers::{body, version, Callers};
@@ -15,7 +16,7 @@
 use milletwing_consensus::Role;
 use milletwing_control_plane::core::Core;
 use milletwing_replicated_state::view::configuration_digest;
-use simulation::{ms, SharedSimulation, Simulation, REPLICAS};
+use simulation::{ms, run, SharedSimulation, Simulation, REPLICAS};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -147,11 +148,8 @@
 
 /// Runs a seed in a simulation of its own. Returns the number of its faults, or none if the check fails.
 fn check_seed(seed: u64, skip: &BTreeSet<usize>, counts: &Counts) -> Option<usize> {
-    let run = || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-        tokio::task::LocalSet::new().block_on(&runtime.unwrap(), run_history(seed, skip, counts))
-    };
-    std::panic::catch_unwind(std::panic::AssertUnwindSafe(run)).ok()
+    let history = || run(run_history(seed, skip, counts));
+    std::panic::catch_unwind(std::panic::AssertUnwindSafe(history)).ok()
 }
 
 /// Finds the faults of a failing seed that can be left out, one after the other, so that the history still
--- a/crates/control-plane/tests/control/simulation.rs
+++ b/crates/control-plane/tests/control/simulation.rs
@@ -3,7 +3,7 @@
 //! paused clock and random numbers from a seed.
 
 use milletwing_config::Settings;
-use milletwing_consensus::Batch;
+use milletwing_consensus::{Batch, Role};
 use milletwing_control_plane::core::{run_clock, Core, LogStorage, SharedCore};
 use milletwing_storage::LogStore;
 use milletwing_wire::{self as wire, PeerMessage};
@@ -11,6 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::future::Future;
 use std::rc::Rc;
 use std::sync::mpsc::{sync_channel, Receiver, TryRecvError};
 use std::time::Duration;
@@ -27,6 +28,18 @@
     Duration::from_millis(time)
 }
 
+/// Runs a test on one thread with a paused clock, and returns its result.
+pub fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    tokio::task::LocalSet::new().block_on(&runtime.unwrap(), test)
+}
+
+/// Whether a replica leads and has applied all that was committed before.
+pub fn is_leader(core: &SharedCore) -> bool {
+    let core = core.borrow();
+    core.member.role() == Role::Leader && core.member.is_caught_up_leader()
+}
+
 /// A replica's id, which is its address.
 pub fn id(number: u32) -> u32 {
     0x0a00_0000 + number
--- a/crates/control-plane/tests/detection.rs
+++ b/crates/control-plane/tests/detection.rs
@@ -10,22 +10,11 @@
 use milletwing_control_plane::core::{Core, SharedCore};
 use milletwing_replicated_state::{Beat, EdgeStatus};
 use milletwing_wire::{self as wire, Answer, ToEdge};
-use simulation::{ms, SharedSimulation, Simulation, REPLICAS};
-use std::future::Future;
+use simulation::{is_leader, ms, run, SharedSimulation, Simulation, REPLICAS};
 use tokio::time::{sleep, Instant};
 
 const SEEDS: u64 = 20;
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-    tokio::task::LocalSet::new().block_on(&runtime.unwrap(), test);
-}
-
-fn is_leader(core: &SharedCore) -> bool {
-    let core = core.borrow();
-    core.member.role() == Role::Leader && core.member.is_caught_up_leader()
-}
-
 /// Starts a cluster and waits for a leader. Returns the numbers of the leader and of a follower.
 async fn start_cluster(seed: u64) -> (SharedSimulation, u32, u32) {
     let simulation = Simulation::new(seed);
--- a/crates/control-plane/tests/power_loss.rs
+++ b/crates/control-plane/tests/power_loss.rs
@@ -10,18 +10,12 @@
 use milletwing_control_plane::core::{Core, SharedCore};
 use milletwing_replicated_state::{Beat, RollOutState, View};
 use milletwing_wire::{Answer, CoreRequest};
-use simulation::{ms, SharedSimulation, Simulation, REPLICAS};
-use std::future::Future;
+use simulation::{ms, run, SharedSimulation, Simulation, REPLICAS};
 use tokio::time::sleep;
 
 const BODY: &[u8] = br#"{"revision":1,"routing":{},"targets":{"s":{"maxSessions":10}}}"#;
 const NEXT_BODY: &[u8] = br#"{"revision":2,"routing":{},"targets":{"s":{"maxSessions":20}}}"#;
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
-    tokio::task::LocalSet::new().block_on(&runtime.unwrap(), test);
-}
-
 /// A request of an operator or a marshal.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Request {
