--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod client;
 pub mod config;
+pub mod day;
 pub mod demo;
 pub mod faults;
 pub mod fleet;
--- a/crates/trials/src/main.rs
+++ b/crates/trials/src/main.rs
@@ -4,7 +4,7 @@
 use milletwing_group_server::Joiner;
 use milletwing_marshal::server::{Extensions, GroupJoiner};
 use milletwing_marshal::{Config, Limits, ProcessSignals, Server};
-use milletwing_trials::{demo, fleet, group, judging, measure, releases, soak};
+use milletwing_trials::{day, demo, fleet, group, judging, measure, releases, soak};
 use serde_json::Value;
 
 /// Demonstrates a marshal, and tries groups of them under failures; all on loopback, and it ends by itself.
@@ -17,6 +17,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Call {
+    Day(Day),
     Demo(Demo),
     Fleet(Fleet),
     Group(Group),
@@ -61,6 +62,28 @@
     program: Option<std::path::PathBuf>,
 }
 
+/// Plays a day with the real programs of the system: roll-outs, changes of routes, evacuations, kills and stops; prints rules
+/// that were broken and duties that were missed, and ends with 1 where a rule was broken.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "day")]
+struct Day {
+    /// the plan (TOML); docs/trials.md tells its fields. Without one, each seed draws its own
+    #[argh(positional)]
+    plan: Option<std::path::PathBuf>,
+    /// the first seed (1 by default)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// how many seeds, one after the other (1 by default)
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// keep the logs of the processes
+    #[argh(switch)]
+    logs: bool,
+    /// the program of the system; by default the one beside this program
+    #[argh(option)]
+    program: Option<std::path::PathBuf>,
+}
+
 /// Starts stand-ins, one marshal and traffic, and shows how a build on trial fares.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "demo")]
@@ -251,6 +274,7 @@
             }
             Ok(seen["held"] == true)
         }
+        Call::Day(call) => play_days(call),
         Call::Soak(call) => play_soak(call),
         Call::Fleet(Fleet { logs, json }) => {
             let seen = fleet::Count::of(std::path::Path::new(&logs))?;
@@ -310,6 +334,31 @@
     }
 }
 
+fn play_days(call: Day) -> Result<bool, String> {
+    let plan = call.plan.as_deref().map(read_plan).transpose()?;
+    let program = beside_this_program(call.program)?;
+    let mut held = true;
+    for seed in call.seed..call.seed.saturating_add(call.seeds) {
+        let plan = plan.clone().unwrap_or_else(|| day::Plan::draw(seed));
+        let options = day::Options { program: program.clone(), seed, plan, keep_logs: call.logs };
+        let report = day::run(&options)?;
+        held &= report.violations.iter().all(|violation| violation.rule == day::DUTY);
+        println!("{}", serde_json::to_string(&report).map_err(|problem| problem.to_string())?);
+    }
+    Ok(held)
+}
+
+fn read_plan(path: &std::path::Path) -> Result<day::Plan, String> {
+    let text = std::fs::read_to_string(path).map_err(|problem| format!("{}: {problem}", path.display()))?;
+    day::Plan::from_toml(&text)
+}
+
+/// The program that was named, or the system's beside this one.
+fn beside_this_program(named: Option<std::path::PathBuf>) -> Result<std::path::PathBuf, String> {
+    let own = std::env::current_exe().map_err(|problem| problem.to_string())?;
+    Ok(named.unwrap_or_else(|| own.with_file_name("milletwing-system")))
+}
+
 fn play_soak(call: Soak) -> Result<bool, String> {
     let within = (1..=9).contains(&call.core)
         && (1..=400).contains(&call.edges)
@@ -320,8 +369,7 @@
             "1 to 9 machines of the core, 1 to 400 edges, 2 to 200 marshals, 1 to 2000 connections".into()
         );
     }
-    let own = std::env::current_exe().map_err(|problem| problem.to_string())?;
-    let program = call.program.unwrap_or_else(|| own.with_file_name("milletwing-system"));
+    let program = beside_this_program(call.program)?;
     let mut held = true;
     for seed in call.seed..call.seed.saturating_add(call.seeds) {
         let options = soak::Options {
--- a/crates/trials/src/soak.rs
+++ b/crates/trials/src/soak.rs
@@ -11,11 +11,13 @@
 mod processes;
 mod schedule;
 
+pub(crate) use calls::{call, call_patiently};
+pub(crate) use ledger::Ledger;
 pub use ledger::{Broken, Outcome, Record, Run, Times, Totals, REMAINING};
+pub(crate) use marshals::listen;
+pub(crate) use processes::{Site, CONTROL, INGRESS};
 
 use crate::measure;
-use ledger::Ledger;
-use processes::Site;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
--- a/crates/trials/src/soak/marshals.rs
+++ b/crates/trials/src/soak/marshals.rs
@@ -172,7 +172,7 @@
 }
 
 /// Takes an address that a life before may have left a moment ago.
-async fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+pub async fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
--- a/crates/trials/src/soak/processes.rs
+++ b/crates/trials/src/soak/processes.rs
@@ -82,6 +82,7 @@
     starts: Mutex<u64>,
     began: Instant,
     ledger: Arc<Ledger>,
+    guarantees: String,
 }
 
 impl Site {
@@ -98,9 +99,16 @@
             starts: Mutex::default(),
             began: Instant::now(),
             ledger,
+            guarantees: format!("graceS = {GRACE_S}\nackS = {ACK_S}\nevacuationS = {EVACUATION_S}\n"),
         })
     }
 
+    /// Other guarantees, as lines of the settings file.
+    pub fn with_guarantees(mut self, guarantees: String) -> Site {
+        self.guarantees = guarantees;
+        self
+    }
+
     fn machines(&self) -> MutexGuard<'_, BTreeMap<u32, Machine>> {
         self.machines.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -118,6 +126,16 @@
         }
     }
 
+    /// The core machines.
+    pub fn core_hosts(&self) -> Vec<u32> {
+        self.hosts(Role::Core)
+    }
+
+    /// The edges.
+    pub fn edge_hosts(&self) -> Vec<u32> {
+        self.hosts(Role::Edge)
+    }
+
     /// The host of a marshal.
     pub fn marshal(&self, number: u32) -> u32 {
         MARSHALS + number
@@ -163,8 +181,7 @@
              [network]\ninternalPorts = [7540, 7555]\nseedList = [{seeds}]\n\
              [network.bindings]\ncontrolPlane = \"{control}\"\ndirectoryPort = \"{directory}\"\ningress = \"{ingress}\"\n\
              readiness = \"{readiness}\"\n\
-             [network.zones]\n{zones}[timers.resilience]\nmachineLosses = {losses}\n[timers.guarantees]\n\
-             graceS = {GRACE_S}\nackS = {ACK_S}\nevacuationS = {EVACUATION_S}\n",
+             [network.zones]\n{zones}[timers.resilience]\nmachineLosses = {losses}\n[timers.guarantees]\n{guarantees}",
             role = role.word(),
             ip = self.at(host, 0).ip(),
             counted = role == Role::Core,
@@ -176,6 +193,7 @@
             readiness = self.at(host, READINESS),
             zones = zones.concat(),
             losses = (self.core - 1) / 2,
+            guarantees = self.guarantees,
         );
         let path = self.folder.path().join(format!("settings{host}.toml"));
         // Whole at any moment: a process may start, or look, just now. A file of its own for each call: another may settle the same host.
