Retest an ejected marshal of which a new leader has heard nothing

Callers saw: a marshal that was ejected before a change of leader got no requests any more, for good, if no edge told the new leader of it; an ejected marshal gets no requests, so no edge does.

Cause: the detector passed over hosts without an observation, ejected ones too, which wait for their retest.

Change: an ejected host has its state from the first look on.

--- a/crates/outlier-detection/src/detector.rs
+++ b/crates/outlier-detection/src/detector.rs
@@ -145,6 +145,11 @@
         }
         let mut actions = Vec::new();
         for candidate in known {
+            if candidate.ejected {
+                // Also without any observation: a new leader may have heard nothing of a host that gets no
+                // requests, and has to retest it all the same.
+                self.hosts.entry(candidate.host).or_default();
+            }
             let Some(host) = self.hosts.get_mut(&candidate.host) else { continue };
             if !candidate.ejected {
                 if host.ejected_at.is_some() {
