--- a/crates/edge-proxy/src/tests.rs
+++ b/crates/edge-proxy/src/tests.rs
@@ -1,6 +1,7 @@
 //! Marshals that fail or misbehave at each byte of a message, over in-memory streams and a paused
 //! clock: which response a client gets, and which requests are sent a second time.
 
+mod bodies;
 mod core_silence;
 mod framing;
 mod guarantees;
