--- a/crates/edge-proxy/src/tests/bodies.rs
+++ b/crates/edge-proxy/src/tests/bodies.rs
@@ -45,7 +45,7 @@
     fn new(seed: u64) -> Drawn {
         let mut random = Pcg64Mcg::seed_from_u64(seed);
         let size = match random.random_range(0..3) {
-            _ if seed % LARGE_EVERY == 0 => LARGE,
+            _ if seed.is_multiple_of(LARGE_EVERY) => LARGE,
             0 => random.random_range(0..40_000),
             _ => *SIZES.choose(&mut random).unwrap(),
         };
