Stand-ins of marshals share their server and reports; a site reserves its network

A site now reserves its network with a listener for as long as it lasts. Test support only; no program changes.

--- a/crates/trials/src/day/marshals.rs
+++ b/crates/trials/src/day/marshals.rs
@@ -2,22 +2,19 @@
 
 use super::observations::Recorder;
 use super::plan::{Event, EventKind, HowBad, Plan};
-use crate::soak::{call, listen, Site, CONTROL};
+use crate::soak::Site;
+use crate::stand_in::{deregister, listen, send_report, serve};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpListener;
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::task::JoinHandle;
 
 /// Version of the marshals that run from the start.
 pub const FIRST_VERSION: &str = "v1";
@@ -148,7 +145,7 @@
             at_work: AtomicUsize::new(0),
             random: Mutex::new(Pcg64Mcg::seed_from_u64(self.seed ^ (number << 20))),
         };
-        let serving = tokio::spawn(serve(listener, Arc::new(node)));
+        let serving = tokio::spawn(serve(listener, Arc::new(node), Node::answer));
         let report = Arc::new(format!(
             r#"{{"target":"{service}","address":"{address}","zone":"{zone}","revision":"{version}","capacity":{CAPACITY},"warmupLeftS":0,"state":"#
         ));
@@ -184,52 +181,14 @@
         }
         tokio::time::sleep(DRAIN_TIME).await;
         for instance in instances {
-            let path = format!("/milletwing/nodes/{}", instance.id);
-            for core in self.site.core_hosts() {
-                let answer = call(self.site.at(core, CONTROL), "DELETE", &path, "", "").await;
-                if answer.is_some_and(|(status, _)| status < 300) {
-                    break;
-                }
-            }
+            deregister(&self.site, &instance.id).await;
             instance.serving.abort();
         }
     }
 }
 
-/// Sends a report to one core machine after the other until it is acknowledged, twice round at most.
-async fn send_report(site: &Site, id: &str, report: &str, state: &str, counter: u64) {
-    let body = format!("{report}\"{state}\",\"callCounter\":{counter}}}");
-    let path = format!("/milletwing/nodes/{id}");
-    let hosts = site.core_hosts();
-    let first = counter as usize % hosts.len();
-    for core in hosts.iter().cycle().skip(first).take(hosts.len() * 2) {
-        let to = site.at(*core, CONTROL);
-        let answer = call(to, "PUT", &path, "Content-Type: application/json\r\n", &body).await;
-        if answer.is_some_and(|(status, _)| status < 300) {
-            return;
-        }
-    }
-}
-
-async fn serve(listener: TcpListener, node: Arc<Node>) {
-    let mut connections = JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
-        let node = Arc::clone(&node);
-        let service = service_fn(move |request| {
-            let node = Arc::clone(&node);
-            async move { Ok::<_, Infallible>(node.answer(request).await) }
-        });
-        connections.spawn(async move {
-            let connection =
-                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            let _ = connection.await; // a broken connection is its caller's concern
-        });
-        while connections.try_join_next().is_some() {}
-    }
-}
-
 impl Node {
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let path = request.uri().path().to_owned();
         if path == "/health" {
             return response(200, &[("x-milletwing-node-id", &self.id)]);
--- a/crates/trials/src/lib.rs
+++ b/crates/trials/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod measure;
 pub mod releases;
 pub mod soak;
+mod stand_in;
 pub mod world;
--- a/crates/trials/src/soak.rs
+++ b/crates/trials/src/soak.rs
@@ -14,7 +14,6 @@
 pub(crate) use calls::{call, call_patiently};
 pub(crate) use ledger::Ledger;
 pub use ledger::{Broken, Outcome, Record, Run, Times, Totals, REMAINING};
-pub(crate) use marshals::listen;
 pub(crate) use processes::{Site, CONTROL, INGRESS};
 
 use crate::measure;
--- a/crates/trials/src/soak/marshals.rs
+++ b/crates/trials/src/soak/marshals.rs
@@ -1,24 +1,20 @@
 //! Stand-ins of marshals: they run what they are sent, tell the core of themselves, leave in order and crash.
 
-use super::calls::call;
 use super::ledger::{Ledger, Run};
-use super::processes::{Role, Site, CONTROL};
+use super::processes::Site;
+use crate::stand_in::{deregister, listen, send_report, serve};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, AUTHORIZATION};
-use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashSet;
-use std::convert::Infallible;
 use std::future::Future;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::task::JoinHandle;
 
 /// Between two reports.
 const REPORT: Duration = Duration::from_millis(700);
@@ -109,14 +105,14 @@
             at_work: Arc::clone(&at_work),
             dice: Mutex::new(Pcg64Mcg::seed_from_u64(seed)),
         };
-        let serving = tokio::spawn(serve(listener, Arc::new(node)));
+        let serving = tokio::spawn(serve(listener, Arc::new(node), Node::answer));
         let report = format!(
             r#"{{"target":"s","address":"{address}","zone":"{zone}","revision":"v1","capacity":{SLOTS},"warmupLeftS":0,"state":"#
         );
         let (site, own) = (Arc::clone(&self.site), name.clone());
         let reporting = tokio::spawn(async move {
             for counter in 1.. {
-                tell(&site, &own, &report, "available", counter).await;
+                send_report(&site, &own, &report, "available", counter).await;
                 tokio::time::sleep(REPORT).await;
             }
         });
@@ -145,15 +141,9 @@
             self.site.at(host, 9_000),
             self.site.zone(host).0
         );
-        tell(&self.site, &life.name, &report, "draining", 1 << 40).await;
+        send_report(&self.site, &life.name, &report, "draining", 1 << 40).await;
         tokio::time::sleep(SERVES_ON).await;
-        let path = format!("/milletwing/nodes/{}", life.name);
-        for core in self.site.hosts(Role::Core) {
-            let answer = call(self.site.at(core, CONTROL), "DELETE", &path, "", "").await;
-            if answer.is_some_and(|(status, _)| status < 300) {
-                break;
-            }
-        }
+        deregister(&self.site, &life.name).await;
         let ids: Vec<String> =
             life.at_work.lock().unwrap_or_else(PoisonError::into_inner).iter().cloned().collect();
         self.ledger.cut(&life.name, &ids); // nobody acknowledged that it leaves: it ends all the same
@@ -171,29 +161,6 @@
     }
 }
 
-/// Takes an address that a life before may have left a moment ago.
-pub async fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(1_024)
-}
-
-/// Tells one machine of the core after the other until it is acknowledged; a round without gives up.
-async fn tell(site: &Site, name: &str, report: &str, state: &str, counter: u64) {
-    let text = format!("{report}\"{state}\",\"callCounter\":{counter}}}");
-    let path = format!("/milletwing/nodes/{name}");
-    let hosts = site.hosts(Role::Core);
-    let first = counter as usize % hosts.len();
-    for core in hosts.iter().cycle().skip(first).take(hosts.len() * 2) {
-        let answer =
-            call(site.at(*core, CONTROL), "PUT", &path, "Content-Type: application/json\r\n", &text).await;
-        if answer.is_some_and(|(status, _)| status < 300) {
-            return;
-        }
-    }
-}
-
 struct Node {
     name: String,
     region: &'static str,
@@ -203,23 +170,6 @@
     dice: Mutex<Pcg64Mcg>,
 }
 
-async fn serve(listener: TcpListener, node: Arc<Node>) {
-    let mut connections = JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
-        let node = Arc::clone(&node);
-        let service = service_fn(move |request| {
-            let node = Arc::clone(&node);
-            async move { Ok::<_, Infallible>(node.answer(request).await) }
-        });
-        connections.spawn(async move {
-            let serving =
-                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            let _ = serving.await; // the caller's concern
-        });
-        while connections.try_join_next().is_some() {}
-    }
-}
-
 fn word(headers: &HeaderMap, name: &str) -> Option<String> {
     Some(headers.get(name)?.to_str().ok()?.to_owned())
 }
@@ -250,7 +200,7 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let path = request.uri().path().to_owned();
         if path == "/health" {
             return answer(200, &[("x-milletwing-node-id", &self.name)], String::new());
--- a/crates/trials/src/soak/processes.rs
+++ b/crates/trials/src/soak/processes.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::Write;
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
 use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -26,6 +26,9 @@
 /// Seconds within which an order is acknowledged, and within which an evacuated zone gets nothing more.
 pub const ACK_S: u64 = 2;
 pub const EVACUATION_S: u64 = 1;
+/// Loopback networks to choose from, and the host by which one is reserved.
+const NETWORKS: u32 = 199;
+const RESERVATION_HOST: u32 = 65_000;
 /// The first host of the edges, and of the marshals.
 const EDGES: u32 = 20;
 const MARSHALS: u32 = 2_000;
@@ -74,6 +77,8 @@
 /// All machines.
 pub struct Site {
     base: u32,
+    /// Keeps other sites from the same network.
+    _reservation: TcpListener,
     folder: tempfile::TempDir,
     program: PathBuf,
     core: u32,
@@ -85,12 +90,25 @@
     guarantees: String,
 }
 
+/// Finds a loopback network that no other site uses. Errors: there is none.
+fn reserve_network() -> Result<(u32, TcpListener), String> {
+    let networks = (0..NETWORKS).map(|turn| (std::process::id() + turn) % NETWORKS + 1);
+    let reserved = networks.into_iter().find_map(|network| {
+        let base = 0x7f00_0000 + network * 0x1_0000;
+        let address = SocketAddrV4::new(Ipv4Addr::from_bits(base + RESERVATION_HOST), CONTROL);
+        Some((base, TcpListener::bind(address).ok()?))
+    });
+    reserved.ok_or_else(|| "no free loopback network".into())
+}
+
 impl Site {
     /// Nothing runs yet. Errors: no folder.
     pub fn new(options: &Options, ledger: Arc<Ledger>) -> Result<Site, String> {
+        let (base, reservation) = reserve_network()?;
         let folder = tempfile::Builder::new().prefix("soak-").tempdir().map_err(|why| why.to_string())?;
         Ok(Site {
-            base: 0x7f00_0000 + (std::process::id() % 199 + 1) * 0x1_0000,
+            base,
+            _reservation: reservation,
             folder,
             program: options.program.clone(),
             core: options.core,
